--- /dev/null
+++ b/packages/cassiastair/cassiastair/data/__init__.py
@@ -0,0 +1,42 @@
+"""The vocabulary: immutable records that all other modules exchange."""
+
+from .attempt import Attempt
+from .coverage import Coverage
+from .held import HeldVersions
+from .index import Index
+from .key_range import FULL_RANGE, KEY_SPACE, KeyRange
+from .missing import Missing
+from .object_key import ObjectKey
+from .outcome import Outcome
+from .policy import Policy
+from .reason import Reason
+from .request_id import RequestId
+from .service import Service
+from .shard_answer import ShardAnswer
+from .snapshot import Snapshot
+from .target import Target
+from .ticket import Change, Ticket
+from .vm import Vm
+
+__all__ = [
+    "FULL_RANGE",
+    "KEY_SPACE",
+    "Attempt",
+    "Change",
+    "Coverage",
+    "HeldVersions",
+    "Index",
+    "KeyRange",
+    "Missing",
+    "ObjectKey",
+    "Outcome",
+    "Policy",
+    "Reason",
+    "RequestId",
+    "Service",
+    "ShardAnswer",
+    "Snapshot",
+    "Target",
+    "Ticket",
+    "Vm",
+]
--- /dev/null
+++ b/packages/cassiastair/cassiastair/data/shard_answer.py
@@ -0,0 +1,41 @@
+"""A target's answer for one shard."""
+
+from dataclasses import dataclass
+
+from .held import HeldVersions
+from .key_range import KeyRange
+from .snapshot import Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class ShardAnswer:
+    """Records of one key range, from one snapshot.
+
+    Parameters
+    ----------
+    attempt : str
+        Attempt that this answers.
+    service : str
+        Service of the records.
+    snapshot : Snapshot
+        Snapshot that the target answered from.
+    key_range : KeyRange
+        Keys that the answer covers.
+    records : tuple
+        Matching records, as the target sent them.
+    held : tuple of HeldVersions
+        Versions that the target holds, one span for each epoch.
+    incarnation : str
+        Run of the target that answered.
+    load : float or None
+        Load that the target reports: requests in progress for each slot.
+    """
+
+    attempt: str
+    service: str
+    snapshot: Snapshot
+    key_range: KeyRange
+    records: tuple
+    held: tuple[HeldVersions, ...]
+    incarnation: str
+    load: float | None = None
--- /dev/null
+++ b/packages/cassiastair/cassiastair/pauses.py
@@ -0,0 +1,45 @@
+"""Detection of pauses of the process, after which its beliefs are stale."""
+
+from .clock import Clock
+
+PAUSE_LIMIT_S = 1.5  # gap between ticks that counts as a pause
+
+
+class PauseDetector:
+    """Notices that the process did not run for a while.
+
+    `check` is called by a regular tick and again just before each non-idempotent
+    dispatch, because on waking the dispatch may run before the tick.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock that goes on while the process is paused.
+    limit : float
+        Gap in seconds that counts as a pause.
+    """
+
+    def __init__(self, clock: Clock, limit: float = PAUSE_LIMIT_S):
+        self._clock = clock
+        self._limit = limit
+        self._last = clock.now()
+        self._stale = False
+        self.pauses = 0
+
+    def check(self) -> bool:
+        """Look at the clock; tell whether beliefs are stale."""
+        now = self._clock.now()
+        if now - self._last > self._limit:
+            self._stale = True
+            self.pauses += 1
+        self._last = now
+        return self._stale
+
+    @property
+    def stale(self) -> bool:
+        """Whether a pause was seen and nothing has confirmed the beliefs since."""
+        return self._stale
+
+    def confirm(self) -> None:
+        """Take word, from a peer or the platform, that came after the pause."""
+        self._stale = False
--- /dev/null
+++ b/packages/cassiastair/cassiastair/peers/__init__.py
@@ -0,0 +1,38 @@
+"""What VMs tell one another: tickets, freshness, members, leaving targets."""
+
+from .link import LinkClosed, PeerLink
+from .messages import (
+    Bye,
+    Call,
+    DigestFrame,
+    Entries,
+    Heartbeat,
+    Hello,
+    Leaving,
+    LeavingList,
+    Marks,
+    Members,
+    Message,
+    Reply,
+    Want,
+)
+from .node import PeerNode
+
+__all__ = [
+    "Bye",
+    "Call",
+    "DigestFrame",
+    "Entries",
+    "Heartbeat",
+    "Hello",
+    "Leaving",
+    "LeavingList",
+    "LinkClosed",
+    "Marks",
+    "Members",
+    "Message",
+    "PeerLink",
+    "PeerNode",
+    "Reply",
+    "Want",
+]
--- /dev/null
+++ b/packages/cassiastair/cassiastair/peers/node.py
@@ -0,0 +1,344 @@
+"""One VM among its peers: pushes news along links and repairs by digest.
+
+News goes out at once on every link and is passed on once by each VM that had not
+seen it. Whatever a lost message or a cut leaves behind, the digests in the
+heartbeats show, and the difference alone is then exchanged.
+
+A reader must never see half a ticket. Pushes carry whole tickets. A repair carries
+the whole difference of two states; if a state changes between its description and
+the transfer, the difference would be torn, so the exchange is dropped and the next
+heartbeats start another.
+"""
+
+import struct
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..data import Ticket, Vm
+from ..errors import PeerProtocolError
+from ..membership import Freshness, LeavingTargets, Roster
+from ..membership.leaving import LeavingMark
+from ..tickets import Entry, StateMap, describe_state, parse_entry
+from ..tickets.digest import BUCKETS, compare_buckets
+from ..tickets.parse import make_entry
+from .link import LinkClosed, PeerLink
+from .messages import (
+    PROTOCOL,
+    Bye,
+    DigestFrame,
+    Entries,
+    Heartbeat,
+    Hello,
+    Leaving,
+    LeavingList,
+    Marks,
+    Members,
+    Message,
+    Want,
+)
+
+ENTRIES_PER_MESSAGE = 500  # about 100 KB
+REPAIR_AFTER = 2  # heartbeats in a row with another digest: not just news on its way
+MAX_STAGED = 1_000_000  # entries of one transfer
+
+
+@dataclass(slots=True)
+class PeerCounts:
+    """Counters for the metrics."""
+
+    pushed: int = 0
+    repaired: int = 0
+    repairs: int = 0
+    refused: int = 0
+
+
+class PeerNode:
+    """State that peers share, and the answers to their messages.
+
+    Parameters
+    ----------
+    own : Vm
+        This VM.
+    state : StateMap
+        Tickets in force.
+    roster : Roster
+        Known VMs.
+    freshness : Freshness
+        Age of the platform's word.
+    leaving : LeavingTargets
+        Targets that get no new work.
+    get_revision, advance : callable
+        Read and raise the position of the platform's reader.
+    confirm : callable
+        Called when a peer's word shows that the own state is up to date.
+    """
+
+    def __init__(
+        self,
+        own: Vm,
+        state: StateMap,
+        roster: Roster,
+        freshness: Freshness,
+        leaving: LeavingTargets,
+        get_revision: Callable[[], int] = lambda: 0,
+        advance: Callable[[int], None] = lambda revision: None,
+        confirm: Callable[[], None] = lambda: None,
+    ):
+        self.own = own
+        self.state = state
+        self.roster = roster
+        self.freshness = freshness
+        self.leaving = leaving
+        self.links: dict[str, PeerLink] = {}
+        self.counts = PeerCounts()
+        self._get_revision = get_revision
+        self._advance = advance
+        self._confirm = confirm
+        self._handlers = {
+            Hello: self._take_hello,
+            Heartbeat: self._take_heartbeat,
+            DigestFrame: self._take_digest,
+            Marks: self._take_marks,
+            Want: self._take_want,
+            Entries: self._take_entries,
+            Leaving: self._take_leaving,
+            LeavingList: self._take_leaving_list,
+            Members: self._take_members,
+            Bye: self._take_bye,
+        }
+
+    def greet(self, link: PeerLink) -> None:
+        """Send the first message on a new link."""
+        link.send(Hello(PROTOCOL, self.own))
+
+    def handle(self, link: PeerLink, message: Message) -> None:
+        """Take a message from a peer.
+
+        Raises
+        ------
+        PeerProtocolError
+            If the message breaks the protocol; the link is to be closed.
+        """
+        if link.vm is None and not isinstance(message, Hello):
+            raise PeerProtocolError("the first message must be a hello")
+        self._handlers[type(message)](link, message)
+
+    def lost(self, link: PeerLink) -> None:
+        """Take note that a link is closed."""
+        if link.vm is not None and self.links.get(link.vm.name) is link:
+            del self.links[link.vm.name]
+
+    def publish(self, ticket: Ticket) -> None:
+        """Merge a ticket read from the platform and push it if it was news."""
+        if self.state.apply(ticket):
+            entries = [make_entry(c, ticket.number) for c in ticket.changes]
+            self._push(entries, None)
+
+    def note_leaving(self, mark: LeavingMark) -> None:
+        """Tell peers of a target that said it is leaving."""
+        self._broadcast(Leaving([[mark.target, mark.incarnation]]), None)
+
+    def note_list(self, revision: int, targets: Iterable[str]) -> None:
+        """Take the platform's list of leaving targets and pass it on if new."""
+        if self.leaving.note_list(revision, targets):
+            self._broadcast(LeavingList(revision, sorted(self.leaving.listed)), None)
+
+    def beat(self) -> None:
+        """Send a heartbeat on every link."""
+        age = self.freshness.age
+        heartbeat = Heartbeat(
+            root=self.state.digest.root,
+            age=-1.0 if age == float("inf") else round(age, 3),
+            revision=self._get_revision(),
+            list_revision=self.leaving.list_revision,
+        )
+        self._broadcast(heartbeat, None)
+
+    def stop(self) -> None:
+        """Tell peers that this VM is stopping."""
+        self._broadcast(Bye(), None)
+
+    def _broadcast(self, message: Message, source: PeerLink | None) -> None:
+        """Send a message on every link but the one that it came from."""
+        for link in list(self.links.values()):
+            if link is not source:
+                self._send(link, message)
+
+    def _send(self, link: PeerLink, message: Message) -> None:
+        """Send a message; a closed link is dropped."""
+        try:
+            link.send(message)
+        except LinkClosed:
+            self.lost(link)
+
+    def _push(self, entries: list[Entry], source: PeerLink | None) -> None:
+        """Push a whole ticket."""
+        self.counts.pushed += 1
+        message = Entries([describe_entry(e) for e in entries], False, True)
+        self._broadcast(message, source)
+
+    def _take_hello(self, link: PeerLink, hello: Hello) -> None:
+        """Take a peer's first message and bring it up to date."""
+        if hello.protocol != PROTOCOL:
+            raise PeerProtocolError(f"protocol {hello.protocol} is not {PROTOCOL}")
+        if hello.vm.name == self.own.name:
+            raise PeerProtocolError(f"a peer bears the name {self.own.name} too")
+        link.vm = hello.vm
+        self.links[hello.vm.name] = link
+        known = self.roster.find(hello.vm.name)
+        self.roster.contact(hello.vm)
+        self._send(link, Members([*self.roster.all(), self.own]))
+        marks = [[mark.target, mark.incarnation] for mark in self.leaving.all()]
+        if marks:
+            self._send(link, Leaving(marks))
+        self._send_list(link)
+        if known != hello.vm:
+            self._broadcast(Members([hello.vm]), link)
+
+    def _send_list(self, link: PeerLink) -> None:
+        """Send the platform's list of leaving targets, if there is one."""
+        if self.leaving.list_revision >= 0:
+            targets = sorted(self.leaving.listed)
+            self._send(link, LeavingList(self.leaving.list_revision, targets))
+
+    def _take_heartbeat(self, link: PeerLink, beat: Heartbeat) -> None:
+        """Compare digests; ask for a repair when they differ for long."""
+        self.roster.contact(link.vm)
+        if beat.list_revision < self.leaving.list_revision:
+            self._send_list(link)
+        if beat.root == self.state.digest.root:
+            link.mismatches = 0
+            if beat.age >= 0:
+                self.freshness.note(beat.age)
+                self._confirm()
+            self._advance(beat.revision)
+            return
+        link.mismatches += 1
+        if link.mismatches >= REPAIR_AFTER or not self.state.entries:
+            link.mismatches = 0
+            self.counts.repairs += 1
+            link.exchange_root = self.state.digest.root
+            self._send(link, DigestFrame(self.state.digest.pack()))
+
+    def _take_digest(self, link: PeerLink, frame: DigestFrame) -> None:
+        """Answer a digest with the marks of the buckets that differ."""
+        try:
+            buckets = compare_buckets(self.state.digest.pack(), frame.buckets)
+        except ValueError as error:
+            raise PeerProtocolError(str(error)) from error
+        if not buckets:
+            return
+        marks = pack_marks(e.mark for e in self.state.select(buckets))
+        link.exchange_root = self.state.digest.root
+        self._send(link, Marks(tuple(buckets), marks))
+
+    def _take_marks(self, link: PeerLink, frame: Marks) -> None:
+        """Send what the peer lacks and ask for what it has beyond this VM."""
+        if link.exchange_root != self.state.digest.root:
+            return
+        theirs = unpack_marks(frame.marks)
+        own = {entry.mark: entry for entry in self._select(frame.buckets)}
+        lacking = [entry for mark, entry in own.items() if mark not in theirs]
+        wanted = theirs - own.keys()
+        if wanted:
+            self._send(link, Want(frame.buckets, pack_marks(wanted)))
+        if lacking:
+            self._send_entries(link, lacking)
+
+    def _take_want(self, link: PeerLink, want: Want) -> None:
+        """Send the entries that a peer asked for."""
+        if link.exchange_root != self.state.digest.root:
+            return
+        marks = unpack_marks(want.marks)
+        entries = [e for e in self._select(want.buckets) if e.mark in marks]
+        self._send_entries(link, entries)
+
+    def _select(self, buckets: tuple[int, ...]) -> list[Entry]:
+        """Return the entries of buckets that a peer named."""
+        if not all(type(b) is int and 0 <= b < BUCKETS for b in buckets):
+            raise PeerProtocolError("a bucket number is out of range")
+        return self.state.select(buckets)
+
+    def _send_entries(self, link: PeerLink, entries: list[Entry]) -> None:
+        """Send entries as one transfer, in messages of bounded size."""
+        for start in range(0, len(entries), ENTRIES_PER_MESSAGE):
+            part = entries[start : start + ENTRIES_PER_MESSAGE]
+            more = start + ENTRIES_PER_MESSAGE < len(entries)
+            self._send(link, Entries([describe_entry(e) for e in part], more, False))
+
+    def _take_entries(self, link: PeerLink, frame: Entries) -> None:
+        """Stage a transfer; merge it in one step when it is whole."""
+        entries = []
+        for plain in frame.entries:
+            entry = parse_entry(plain)
+            if entry is None:
+                self.counts.refused += 1
+                link.staged = []
+                raise PeerProtocolError("an entry is malformed; all of it is refused")
+            entries.append(entry)
+        if frame.push:
+            if self.state.merge(entries):
+                self._push(entries, link)
+            return
+        link.staged.extend(entries)
+        if len(link.staged) > MAX_STAGED:
+            raise PeerProtocolError(f"a transfer has more than {MAX_STAGED} entries")
+        if frame.more:
+            return
+        staged, link.staged = link.staged, []
+        self.counts.repaired += len(self.state.merge(staged))
+
+    def _take_leaving(self, link: PeerLink, frame: Leaving) -> None:
+        """Take what a peer saw of leaving targets, and pass on what is new."""
+        news = []
+        for target, incarnation in frame.marks:
+            if self.leaving.note(LeavingMark(target, incarnation)):
+                news.append([target, incarnation])
+        if news:
+            self._broadcast(Leaving(news), link)
+
+    def _take_leaving_list(self, link: PeerLink, frame: LeavingList) -> None:
+        """Take the platform's list from a peer, and pass it on if it is new."""
+        if self.leaving.note_list(frame.revision, frame.targets):
+            self._broadcast(frame, link)
+
+    def _take_members(self, link: PeerLink, frame: Members) -> None:
+        """Take VMs that a peer knows, and pass on the new ones."""
+        news = []
+        for vm in frame.vms:
+            known = self.roster.find(vm.name)
+            if vm.name != self.own.name and known is None:
+                news.append(vm)
+        self.roster.tell(frame.vms)
+        if news:
+            self._broadcast(Members(news), link)
+
+    def _take_bye(self, link: PeerLink, bye: Bye) -> None:
+        """Drop a peer that is stopping."""
+        self.roster.gone(link.vm.name)
+        self.lost(link)
+
+
+def describe_entry(entry: Entry) -> list:
+    """Return the plain form of an entry."""
+    state = describe_state(entry.state)
+    return [entry.key.kind, entry.key.name, entry.number, state]
+
+
+def pack_marks(marks: Iterable[int]) -> bytes:
+    """Return marks, eight bytes each."""
+    values = list(marks)
+    return struct.pack(f"<{len(values)}Q", *values)
+
+
+def unpack_marks(packed: bytes) -> set[int]:
+    """Return packed marks.
+
+    Raises
+    ------
+    PeerProtocolError
+        If the length is not a multiple of eight.
+    """
+    if len(packed) % 8:
+        raise PeerProtocolError("marks have eight bytes each")
+    return set(struct.unpack(f"<{len(packed) // 8}Q", packed))
--- /dev/null
+++ b/packages/cassiastair/cassiastair/search/observer.py
@@ -0,0 +1,84 @@
+"""Learning from what targets say in answers, refusals and reports."""
+
+from collections.abc import Callable
+
+from ..data import ShardAnswer
+from ..membership.leaving import LeavingMark, LeavingTargets
+from ..snapshots import HeldTable
+from ..targets.evidence import Evidence
+from ..targets.failures import (
+    BadAnswerFailure,
+    BrokenFailure,
+    ConnectFailure,
+    NotHeldFailure,
+    RefusedFailure,
+    TargetFailure,
+)
+from ..targets.report import TargetReport
+
+
+class TargetObserver:
+    """Turns answers and failures into evidence; one place for all requests.
+
+    Parameters
+    ----------
+    held : HeldTable
+        Versions that targets hold.
+    leaving : LeavingTargets
+        Targets that are leaving.
+    tell_peers : callable
+        Called with each new `LeavingMark`.
+    """
+
+    def __init__(
+        self,
+        held: HeldTable,
+        leaving: LeavingTargets,
+        tell_peers: Callable[[LeavingMark], None] = lambda mark: None,
+    ):
+        self._held = held
+        self._leaving = leaving
+        self._tell_peers = tell_peers
+
+    def answered(self, evidence: Evidence, answer: ShardAnswer, latency: float) -> None:
+        """Learn from an answer."""
+        evidence.succeeded(latency)
+        evidence.incarnation = answer.incarnation
+        if answer.load is not None:
+            evidence.note_load(answer.load)
+        self._held.note(evidence.target.name, answer.held)
+        self._leaving.note_serving(evidence.target.name, answer.incarnation)
+
+    def failed(self, evidence: Evidence, failure: TargetFailure) -> None:
+        """Learn from a failure."""
+        if isinstance(failure, NotHeldFailure):
+            self._held.note(evidence.target.name, failure.held)
+        elif isinstance(failure, RefusedFailure):
+            self._refused(evidence, failure)
+        elif isinstance(failure, (ConnectFailure, BrokenFailure, BadAnswerFailure)):
+            evidence.failed()
+
+    def _refused(self, evidence: Evidence, failure: RefusedFailure) -> None:
+        """Learn from a refusal."""
+        if failure.code == "shed":
+            evidence.gate.limit.refused()
+        elif failure.code == "draining":
+            self.leaves(evidence.target.name, failure.incarnation)
+
+    def leaves(self, target: str, incarnation: str) -> None:
+        """Take a target's word that it leaves, and pass it on if it is new."""
+        mark = LeavingMark(target, incarnation)
+        if self._leaving.note(mark):
+            self._tell_peers(mark)
+
+    def reported(self, evidence: Evidence, report: TargetReport) -> None:
+        """Learn from a report."""
+        evidence.note_load(report.load)
+        self._held.note(evidence.target.name, report.held)
+        if not report.serving:
+            self.leaves(evidence.target.name, report.incarnation)
+            return
+        self._leaving.note_serving(evidence.target.name, report.incarnation)
+        if evidence.down:
+            evidence.gate.limit.restart()
+            evidence.failures = 0
--- /dev/null
+++ b/packages/cassiastair/cassiastair/search/request.py
@@ -0,0 +1,43 @@
+"""A search or lookup as the engine takes it."""
+
+from dataclasses import dataclass
+
+from ..data import KeyRange, Service
+from ..traces import TraceContext
+
+
+@dataclass(frozen=True, slots=True)
+class SearchRequest:
+    """What is asked, where, and until when.
+
+    Parameters
+    ----------
+    index : str
+        Index that is searched.
+    query : dict
+        Passed on to the targets unread.
+    deadline : float
+        Monotonic time in seconds at which the answer is due.
+    lowest_version : int
+        Oldest version that the caller accepts.
+    key : int or None
+        Key of a lookup; None for a search over the whole index.
+    service : str or None
+        Service of a lookup; None for a search.
+    trace : TraceContext
+        Span of the request.
+    """
+
+    index: str
+    query: dict
+    deadline: float
+    trace: TraceContext
+    lowest_version: int = 0
+    key: int | None = None
+    service: str | None = None
+
+    def select_shards(self, service: Service) -> tuple[KeyRange, ...]:
+        """Return the shards of a service that the request needs."""
+        if self.key is None:
+            return service.shards
+        return tuple(shard for shard in service.shards if shard.contains(self.key))
--- /dev/null
+++ b/packages/cassiastair/cassiastair/search/shard_task.py
@@ -0,0 +1,63 @@
+"""The state of one shard while a search waits for it."""
+
+from dataclasses import dataclass, field
+
+from eventlet.greenthread import GreenThread
+
+from ..data import KeyRange, Reason
+from ..targets.evidence import Evidence
+from ..traces import TraceContext
+from .service_tails import ServiceTail
+
+
+@dataclass(slots=True)
+class Pending:
+    """An attempt that has not ended.
+
+    Parameters
+    ----------
+    evidence : Evidence
+        Target that is asked.
+    started : float
+        Monotonic time of the start in seconds.
+    trace : TraceContext
+        Span of the attempt.
+    kind : str
+        ``first``, ``hedge``, ``probe`` or ``retry``.
+    thread : GreenThread or None
+        Task of the attempt.
+    sent : bool
+        Whether the attempt has left the queue in front of the target.
+    """
+
+    evidence: Evidence
+    started: float
+    trace: TraceContext
+    kind: str
+    thread: GreenThread | None = None
+    sent: bool = False
+
+
+@dataclass(slots=True)
+class ShardTask:
+    """One shard of a search.
+
+    Parameters
+    ----------
+    service : str
+        Service of the shard.
+    shard : KeyRange
+        Its keys.
+    tail : ServiceTail
+        Tail mechanisms of the service.
+    """
+
+    service: str
+    shard: KeyRange
+    tail: ServiceTail
+    started: float = 0.0
+    tried: set[str] = field(default_factory=set)
+    pending: dict[str, Pending] = field(default_factory=dict)
+    ended: bool = False
+    reason: Reason | None = None
+    rounds: int = 0
--- /dev/null
+++ b/packages/cassiastair/cassiastair/snapshots/merge.py
@@ -0,0 +1,61 @@
+"""Merge of shard answers; coverage is counted from what arrived."""
+
+from ..data import Coverage, KeyRange, Missing, Reason, Service, ShardAnswer, Snapshot
+
+
+class AnswerMerge:
+    """Collects the answers of one snapshot and refuses all that do not fit.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        Snapshot that every answer must come from.
+    services : list of Service
+        The services that are searched.
+    """
+
+    def __init__(self, snapshot: Snapshot, services: list[Service]):
+        self.snapshot = snapshot
+        self._services = {service.name: service for service in services}
+        self._parts: dict[str, list[KeyRange]] = {name: [] for name in self._services}
+        self.records: list = []
+
+    def add(self, answer: ShardAnswer) -> bool:
+        """Add an answer; tell whether it fitted.
+
+        An answer is refused if it comes from another snapshot or service, or if
+        it covers keys that are covered already.
+        """
+        parts = self._parts.get(answer.service)
+        if parts is None or answer.snapshot != self.snapshot:
+            return False
+        if any(part.overlaps(answer.key_range) for part in parts):
+            return False
+        parts.append(answer.key_range)
+        self.records.extend(answer.records)
+        return True
+
+    def count_coverage(self, reasons: dict[tuple[str, KeyRange], Reason]) -> Coverage:
+        """Count the covered keys and list the missing shards.
+
+        Parameters
+        ----------
+        reasons : dict
+            Why a shard, by service and range, did not answer; ``deadline`` where
+            nothing is noted.
+        """
+        covered = 0
+        missing = []
+        for name, service in self._services.items():
+            parts = set(self._parts[name])
+            covered += sum(part.length for part in parts)
+            for shard in service.shards:
+                if shard not in parts:
+                    reason = reasons.get((name, shard), Reason.DEADLINE)
+                    missing.append(Missing(name, shard, reason))
+        whole = sum(s.length for v in self._services.values() for s in v.shards)
+        return Coverage(covered, whole, tuple(missing))
+
+    def covers(self, service: str, shard: KeyRange) -> bool:
+        """Tell whether a shard was answered."""
+        return shard in self._parts[service]
--- /dev/null
+++ b/packages/cassiastair/cassiastair/targets/evidence.py
@@ -0,0 +1,122 @@
+"""What this VM has seen of one target."""
+
+from ..clock import Clock
+from ..data import Target
+from .gate import Gate
+from .limit import AdaptiveLimit
+
+SMOOTHING = 0.2  # weight of a new latency in the average
+REPORT_HALF_LIFE_S = 1.0  # age at which a load report counts half
+DOWN_AFTER = 2  # connection failures in a row
+SLOW_RATIO = 3.0  # times a sibling's latency at which a target counts as slow
+SLOW_FLOOR_S = 0.010  # differences below this are noise
+PROBE_INTERVAL_S = 3.0  # time between probes of a slow target
+
+
+class Evidence:
+    """In-flight count, latency and failures of one target, as seen from here.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    clock : Clock
+        Source of time.
+    limit : AdaptiveLimit
+        Bound on the requests in progress.
+    """
+
+    __slots__ = (
+        "target",
+        "gate",
+        "latency",
+        "failures",
+        "incarnation",
+        "answered_at",
+        "probed_at",
+        "_clock",
+        "_load",
+        "_load_at",
+    )
+
+    def __init__(self, target: Target, clock: Clock, limit: AdaptiveLimit):
+        self.target = target
+        self.gate = Gate(limit)
+        self.latency: float | None = None
+        self.failures = 0
+        self.incarnation = ""
+        self.answered_at = 0.0
+        self.probed_at = 0.0
+        self._clock = clock
+        self._load = 0.0
+        self._load_at = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests in progress or queued from this VM."""
+        return self.gate.inside + self.gate.queued
+
+    @property
+    def down(self) -> bool:
+        """Whether connections to the target fail."""
+        return self.failures >= DOWN_AFTER
+
+    def succeeded(self, latency: float) -> None:
+        """Take note of an answer after some seconds."""
+        if self.down:
+            self.gate.limit.restart()
+        self.failures = 0
+        self.answered_at = self._clock.now()
+        self.gate.limit.succeeded(self.gate.inside)
+        self.note_latency(latency)
+
+    def note_latency(self, latency: float) -> None:
+        """Add a latency, or the time that an abandoned request had waited."""
+        if self.latency is None:
+            self.latency = latency
+        else:
+            self.latency += SMOOTHING * (latency - self.latency)
+
+    def note_abandoned(self, waited: float) -> None:
+        """Take note that an answer did not come while somebody waited for it."""
+        if self.latency is None or waited > self.latency:
+            self.note_latency(waited)
+
+    def failed(self) -> None:
+        """Take note of a failed connection."""
+        self.failures += 1
+
+    def note_load(self, load: float) -> None:
+        """Take the target's own report of its load."""
+        self._load = load
+        self._load_at = self._clock.now()
+
+    @property
+    def reported_load(self) -> float:
+        """Last reported load, whatever its age."""
+        return self._load
+
+    def weigh_load(self) -> float:
+        """Return the reported load, counted less the older it is, at most one."""
+        age = self._clock.now() - self._load_at
+        return min(self._load, 1.0) * 0.5 ** (age / REPORT_HALF_LIFE_S)
+
+    def score(self) -> float:
+        """Return the expected wait at the target in seconds, for comparison."""
+        latency = 0.001 if self.latency is None else self.latency
+        return latency * (1 + self.in_flight) * (1.0 + 0.1 * self.weigh_load())
+
+    def is_slow_beside(self, fastest: float) -> bool:
+        """Tell whether the target is slow beside its fastest sibling's latency."""
+        if self.latency is None:
+            return False
+        slow = max(fastest * SLOW_RATIO, fastest + SLOW_FLOOR_S)
+        return self.latency > slow
+
+    def take_probe(self) -> bool:
+        """Tell whether a probe of a slow target is due; a yes takes it."""
+        now = self._clock.now()
+        if now - self.probed_at < PROBE_INTERVAL_S:
+            return False
+        self.probed_at = now
+        return True
--- /dev/null
+++ b/packages/cassiastair/cassiastair/tickets/codec.py
@@ -0,0 +1,49 @@
+"""Plain form of the configured states, as written in tickets and sent to peers."""
+
+import orjson
+import xxhash
+
+from ..data import Index, ObjectKey, Policy, Service, Target
+
+POLICY_FIELDS = tuple(Policy.__dataclass_fields__)
+
+
+def describe_state(state: Index | Service | Target | None) -> dict | None:
+    """Return the plain form of a state, as a ticket holds it."""
+    if state is None:
+        return None
+    if isinstance(state, Index):
+        return {"epoch": state.epoch, "services": list(state.services)}
+    if isinstance(state, Service):
+        return describe_service(state)
+    return describe_target(state)
+
+
+def describe_service(service: Service) -> dict:
+    """Return the plain form of a service."""
+    policy = {name: getattr(service.policy, name) for name in POLICY_FIELDS}
+    return {
+        "index": service.index,
+        "shards": [[part.start, part.end] for part in service.shards],
+        "policy": policy,
+    }
+
+
+def describe_target(target: Target) -> dict:
+    """Return the plain form of a target."""
+    return {
+        "service": target.service,
+        "data_centre": target.data_centre,
+        "host": target.host,
+        "port": target.port,
+        "ranges": [[part.start, part.end] for part in target.ranges],
+        "slots": target.slots,
+        "connection_limit": target.connection_limit,
+        "leaving": target.leaving,
+    }
+
+
+def compute_mark(key: ObjectKey, number: int, state: object) -> int:
+    """Return the 64-bit hash of an entry."""
+    plain = [key.kind, key.name, number, describe_state(state)]
+    return xxhash.xxh3_64_intdigest(orjson.dumps(plain, option=orjson.OPT_SORT_KEYS))
--- /dev/null
+++ b/packages/cassiastair/cassiastair/tickets/parse.py
@@ -0,0 +1,230 @@
+"""Reading of tickets; a malformed one is refused whole, with all its faults."""
+
+import sys
+
+import orjson
+
+from ..data import (
+    KEY_SPACE,
+    Change,
+    Index,
+    KeyRange,
+    ObjectKey,
+    Policy,
+    Service,
+    Target,
+    Ticket,
+)
+from ..data.object_key import KINDS
+from .codec import POLICY_FIELDS, compute_mark
+from .entry import Entry
+from .fields import INT_LIMIT, FieldReader, is_name
+from .problem import TicketProblem
+
+MAX_TICKET_BYTES = 1_000_000  # the platform holds values up to a megabyte
+MAX_DEPTH = 8  # levels of nesting; a valid ticket has seven
+
+_shared_ranges: dict[tuple[KeyRange, ...], tuple[KeyRange, ...]] = {}
+MAX_SHARED_RANGES = 4096  # different range lists whose memory targets share
+
+
+def parse_ticket(raw: bytes) -> tuple[Ticket | None, list[TicketProblem]]:
+    """Read a ticket.
+
+    Parameters
+    ----------
+    raw : bytes
+        JSON text of the ticket.
+
+    Returns
+    -------
+    ticket : Ticket or None
+        The ticket; None if anything in it is wrong.
+    problems : list of TicketProblem
+        Every fault found, in the order of the text.
+    """
+    if len(raw) > MAX_TICKET_BYTES:
+        message = f"is {len(raw)} bytes; the limit is {MAX_TICKET_BYTES}"
+        return None, [TicketProblem("ticket", message)]
+    try:
+        document = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        return None, [TicketProblem("ticket", f"is not JSON: {error}")]
+    if measure_depth(document) > MAX_DEPTH:
+        message = f"is nested deeper than {MAX_DEPTH} levels"
+        return None, [TicketProblem("ticket", message)]
+    problems: list[TicketProblem] = []
+    ticket = _read_ticket(document, problems)
+    return (None, problems) if problems else (ticket, [])
+
+
+def parse_entry(plain: object) -> Entry | None:
+    """Read an entry that a peer sent; None if it is malformed.
+
+    Parameters
+    ----------
+    plain : list
+        Kind, name, ticket number and plain state.
+    """
+    if not isinstance(plain, list) or len(plain) != 4:
+        return None
+    kind, name, number, state = plain
+    raw = {"object": f"{kind}/{name}", "state": state}
+    problems: list[TicketProblem] = []
+    change = _read_change(raw, "entry", problems)
+    if problems or type(number) is not int or not 0 < number <= INT_LIMIT:
+        return None
+    return make_entry(change, number)
+
+
+def make_entry(change: Change, number: int) -> Entry:
+    """Return the entry that a ticket's change gives."""
+    mark = compute_mark(change.key, number, change.state)
+    return Entry(change.key, number, change.state, mark)
+
+
+def measure_depth(value: object, limit: int = MAX_DEPTH + 1) -> int:
+    """Return the levels of nesting of a JSON value, at most ``limit``."""
+    if limit == 0 or not isinstance(value, (dict, list)):
+        return 0
+    children = value.values() if isinstance(value, dict) else value
+    return 1 + max((measure_depth(child, limit - 1) for child in children), default=0)
+
+
+def _read_ticket(document: object, problems: list[TicketProblem]) -> Ticket | None:
+    """Read a ticket's JSON object."""
+    if not isinstance(document, dict):
+        problems.append(TicketProblem("ticket", "must be a JSON object"))
+        return None
+    reader = FieldReader(document, "", problems)
+    reader.refuse_unknown({"ticket", "changes"})
+    number = reader.integer("ticket", 1, INT_LIMIT)
+    raw_changes = document.get("changes")
+    if not isinstance(raw_changes, list) or not raw_changes:
+        reader.report("changes", "must be a list of one or more changes")
+        return None
+    changes = []
+    for position, raw in enumerate(raw_changes):
+        changes.append(_read_change(raw, f"changes[{position}]", problems))
+    _refuse_repeats(changes, problems)
+    if problems:
+        return None
+    return Ticket(number, tuple(changes))
+
+
+def _refuse_repeats(changes: list, problems: list[TicketProblem]) -> None:
+    """Report every object that a ticket changes twice."""
+    seen = set()
+    for position, change in enumerate(changes):
+        if change is None:
+            continue
+        if change.key in seen:
+            message = f"changes {change.key} a second time"
+            problems.append(TicketProblem(f"changes[{position}]", message))
+        seen.add(change.key)
+
+
+def _read_change(raw: object, place: str, problems: list) -> Change | None:
+    """Read one change."""
+    if not isinstance(raw, dict):
+        problems.append(TicketProblem(place, "must be a JSON object"))
+        return None
+    reader = FieldReader(raw, place, problems)
+    reader.refuse_unknown({"object", "state"})
+    key = _read_key(raw.get("object"))
+    if key is None:
+        message = f"must be KIND/NAME with KIND one of {', '.join(KINDS)}"
+        reader.report("object", message)
+        return None
+    if "state" not in raw:
+        reader.report("state", "is missing; null removes the object")
+        return None
+    state = raw["state"]
+    if state is None:
+        return Change(key, None)
+    if not isinstance(state, dict):
+        reader.report("state", "must be a JSON object or null")
+        return None
+    read = {"index": _read_index, "service": _read_service, "target": _read_target}
+    inner = FieldReader(state, f"{place}.state", problems)
+    return Change(key, read[key.kind](key.name, inner))
+
+
+def _read_key(value: object) -> ObjectKey | None:
+    """Read the key of an object."""
+    if not isinstance(value, str):
+        return None
+    kind, _, name = value.partition("/")
+    if kind not in KINDS or not is_name(name):
+        return None
+    return ObjectKey(sys.intern(kind), sys.intern(name))
+
+
+def _read_index(name: str, reader: FieldReader) -> Index:
+    """Read the state of an index."""
+    reader.refuse_unknown({"epoch", "services"})
+    epoch = reader.integer("epoch", 1, INT_LIMIT)
+    return Index(name, epoch, reader.names("services"))
+
+
+def _read_service(name: str, reader: FieldReader) -> Service:
+    """Read the state of a service."""
+    reader.refuse_unknown({"index", "shards", "policy"})
+    shards = reader.ranges("shards")
+    if shards and not is_whole(shards):
+        message = f"must cover every key from 0 to {KEY_SPACE} without a gap"
+        reader.report("shards", message)
+    policy = reader.raw.get("policy", {})
+    if not isinstance(policy, dict):
+        reader.report("policy", "must be a JSON object")
+        policy = {}
+    inner = FieldReader(policy, f"{reader.place}.policy", reader.problems)
+    return Service(name, sys.intern(reader.name("index")), shards, _read_policy(inner))
+
+
+def is_whole(shards: tuple[KeyRange, ...]) -> bool:
+    """Tell whether ranges in key order are the whole key space."""
+    position = 0
+    for shard in shards:
+        if shard.start != position:
+            return False
+        position = shard.end
+    return position == KEY_SPACE
+
+
+def _read_policy(reader: FieldReader) -> Policy:
+    """Read the policy of a service."""
+    reader.refuse_unknown(set(POLICY_FIELDS))
+    usual = Policy()
+    return Policy(
+        deadline_ms=reader.integer("deadline_ms", 1, 60_000, usual.deadline_ms),
+        lowest_coverage=reader.number("lowest_coverage", 0, 1, usual.lowest_coverage),
+        hedge_quantile=reader.number("hedge_quantile", 0.5, 1, usual.hedge_quantile),
+        hedge_budget=reader.number("hedge_budget", 0, 1, usual.hedge_budget),
+        retry_budget=reader.number("retry_budget", 0, 1, usual.retry_budget),
+        weight=reader.integer("weight", 1, 1000, usual.weight),
+    )
+
+
+def _read_target(name: str, reader: FieldReader) -> Target:
+    """Read the state of a target."""
+    known = set(Target.__dataclass_fields__) - {"name"}
+    reader.refuse_unknown(known)
+    return Target(
+        name=name,
+        service=sys.intern(reader.name("service")),
+        data_centre=sys.intern(reader.name("data_centre")),
+        host=sys.intern(reader.address("host")),
+        port=reader.integer("port", 1, 65_535),
+        ranges=_share_ranges(reader.ranges("ranges")),
+        slots=reader.integer("slots", 1, 10_000),
+        connection_limit=reader.integer("connection_limit", 1, 100_000),
+        leaving=reader.flag("leaving"),
+    )
+
+
+def _share_ranges(ranges: tuple[KeyRange, ...]) -> tuple[KeyRange, ...]:
+    """Return an equal list of ranges, held in memory once for all targets."""
+    if len(_shared_ranges) >= MAX_SHARED_RANGES:
+        _shared_ranges.clear()
+    return _shared_ranges.setdefault(ranges, ranges)
--- /dev/null
+++ b/packages/cassiastair/cassiastair/traces/context.py
@@ -0,0 +1,50 @@
+"""The W3C trace context that travels with a request."""
+
+import random
+import re
+from dataclasses import dataclass
+
+PATTERN = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+
+
+@dataclass(frozen=True, slots=True)
+class TraceContext:
+    """Identity of a span inside a trace.
+
+    Parameters
+    ----------
+    trace_id : str
+        32 hexadecimal digits.
+    span_id : str
+        16 hexadecimal digits.
+    parent_id : str
+        Span that caused this one; empty for a root.
+    """
+
+    trace_id: str
+    span_id: str
+    parent_id: str = ""
+
+    @property
+    def traceparent(self) -> str:
+        """Header value for the next hop."""
+        return f"00-{self.trace_id}-{self.span_id}-01"
+
+    def child(self, source: random.Random) -> "TraceContext":
+        """Return the context of a new span below this one."""
+        span_id = f"{source.getrandbits(64):016x}"
+        return TraceContext(self.trace_id, span_id, self.span_id)
+
+
+def start_trace(source: random.Random) -> TraceContext:
+    """Return the context of a new root span."""
+    trace_id = f"{source.getrandbits(128) or 1:032x}"
+    return TraceContext(trace_id, f"{source.getrandbits(64) or 1:016x}")
+
+
+def parse_traceparent(header: str | None, source: random.Random) -> TraceContext:
+    """Return a span below the caller's; a new root if the header is not valid."""
+    match = PATTERN.fullmatch(header or "")
+    if match is None or not int(match[1], 16) or not int(match[2], 16):
+        return start_trace(source)
+    return TraceContext(match[1], match[2]).child(source)
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon: the adapters around the coordination parts, and their wiring."""
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/api/__init__.py
@@ -0,0 +1,5 @@
+"""The HTTP interface for callers and operators."""
+
+from .app import Api
+
+__all__ = ["Api"]
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/api/status_handlers.py
@@ -0,0 +1,83 @@
+"""Operators' read-only pages."""
+
+from collections.abc import Callable
+
+from cassiastair.errors import NotFoundError
+from cassiastair.tickets import StateMap, describe_state
+
+from ..metrics import Metrics
+from ..status import Status
+from ..trace_store import TraceStore, describe_spans
+from .reply import ApiReply, reply_json
+
+
+class StatusHandlers:
+    """Health, metrics, state and traces.
+
+    Parameters
+    ----------
+    status : Status
+        Describes the daemon.
+    state : StateMap
+        Tickets in force.
+    traces : TraceStore
+        The last spans.
+    metrics : Metrics
+        Counters and histograms.
+    is_ready : callable
+        Tells whether the balancer should send work.
+    """
+
+    def __init__(
+        self,
+        status: Status,
+        state: StateMap,
+        traces: TraceStore,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+    ):
+        self._status = status
+        self._state = state
+        self._traces = traces
+        self._metrics = metrics
+        self._is_ready = is_ready
+
+    def live(self) -> ApiReply:
+        """Tell that the process runs."""
+        return reply_json(200, {"live": True})
+
+    def ready(self) -> ApiReply:
+        """Tell whether the balancer should send work."""
+        ready = self._is_ready()
+        return reply_json(200 if ready else 503, {"ready": ready})
+
+    def metrics(self) -> ApiReply:
+        """Return the metrics in the Prometheus text format."""
+        return ApiReply(200, self._metrics.render(), "text/plain; version=0.0.4")
+
+    def status(self) -> ApiReply:
+        """Describe the daemon."""
+        return reply_json(200, self._status.describe())
+
+    def state(self) -> ApiReply:
+        """Return every object in force with its ticket."""
+        objects = [
+            {
+                "object": str(entry.key),
+                "ticket": entry.number,
+                "state": describe_state(entry.state),
+            }
+            for entry in self._state.entries.values()
+        ]
+        return reply_json(200, {"objects": sorted(objects, key=lambda o: o["object"])})
+
+    def trace(self, trace_id: str) -> ApiReply:
+        """Return the spans of a trace."""
+        spans = self._traces.find(trace_id)
+        if not spans:
+            raise NotFoundError(f"no spans of trace {trace_id[:40]!r} are kept here")
+        return reply_json(200, {"trace_id": trace_id, "spans": describe_spans(spans)})
+
+    def target(self, name: str) -> ApiReply:
+        """Describe what is known of a target."""
+        return reply_json(200, self._status.describe_target(name))
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -0,0 +1,305 @@
+"""The composition root: wires the parts of one daemon and runs them."""
+
+import random
+import time
+
+import eventlet
+from cassiastair.admission import AdaptiveAdmission
+from cassiastair.data import Vm
+from cassiastair.membership import Freshness, LeavingTargets, ReaderSchedule, Roster
+from cassiastair.once import RequestIssuer
+from cassiastair.once.writer import Writer
+from cassiastair.pauses import PauseDetector
+from cassiastair.peers import PeerNode
+from cassiastair.platform import PlatformReader
+from cassiastair.search import SearchEngine, SearchParts, ServiceTails
+from cassiastair.search.observer import TargetObserver
+from cassiastair.snapshots import HeldTable
+from cassiastair.targets import EvidenceChooser, TargetFleet
+from cassiastair.tickets import StateMap
+from eventlet import wsgi
+from loguru import logger
+
+from .api import Api
+from .api.query_handlers import QueryHandlers
+from .api.status_handlers import StatusHandlers
+from .api.write_handlers import WriteHandlers
+from .clock import SystemClock
+from .drain import Drain
+from .metrics import Metrics
+from .peers import LinkKeeper, PeerServer
+from .platform import HttpPlatform
+from .protocol import ApiProtocol
+from .settings import Settings, parse_peers
+from .status import Status
+from .target_keeper import TargetKeeper
+from .targets import HttpTargetClient
+from .ticket_intake import TicketIntake
+from .trace_store import TraceStore
+
+PAUSE_TICK_S = 0.25
+BACKLOG = 1024
+MAX_CALLER_CONNECTIONS = 10_000
+
+
+class Daemon:
+    """One entry daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+
+    Raises
+    ------
+    OSError
+        If a port cannot be listened on.
+    """
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._source = random.Random()
+        self._clock = SystemClock()
+        self._socket = eventlet.listen(
+            (settings.host, settings.api_port), backlog=BACKLOG
+        )
+        self._peer_server = PeerServer(settings.host, settings.peer_port)
+        self.own = self._make_own()
+        self.drain = Drain()
+        self.metrics = Metrics()
+        self._wire_state()
+        self._wire_targets()
+        self._wire_platform()
+        self._wire_api()
+        self._wire_metrics()
+
+    def _make_own(self) -> Vm:
+        """Return this VM with a new incarnation."""
+        incarnation = f"{time.time_ns():016x}{self._source.getrandbits(32):08x}"
+        settings = self._settings
+        return Vm(
+            name=settings.vm,
+            incarnation=incarnation,
+            data_centre=settings.data_centre,
+            host=settings.host,
+            api_port=self._socket.getsockname()[1],
+            peer_port=self._peer_server.port,
+        )
+
+    def _wire_state(self) -> None:
+        """Make what VMs share with one another."""
+        self.state = StateMap()
+        self.roster = Roster(self.own, self._clock)
+        self.freshness = Freshness(self._clock)
+        self.leaving = LeavingTargets()
+        self.pauses = PauseDetector(self._clock)
+        self.node = PeerNode(
+            self.own,
+            self.state,
+            self.roster,
+            self.freshness,
+            self.leaving,
+            get_revision=lambda: self.reader.revision,
+            advance=lambda revision: self.reader.advance(revision),
+            confirm=self.pauses.confirm,
+        )
+
+    def _wire_targets(self) -> None:
+        """Make what speaks with targets and decides on them."""
+        clock = self._clock
+        catalogue = self.state.catalogue
+        self.traces = TraceStore()
+        self.held = HeldTable()
+        self.fleet = TargetFleet(
+            catalogue, self.leaving, clock, self._settings.vm_count
+        )
+        self.client = HttpTargetClient(self.fleet, clock)
+        self.admission = AdaptiveAdmission(clock)
+        chooser = EvidenceChooser(self._source)
+        observer = TargetObserver(self.held, self.leaving, self.node.note_leaving)
+        self.parts = SearchParts(
+            catalogue=catalogue,
+            fleet=self.fleet,
+            held=self.held,
+            client=self.client,
+            chooser=chooser,
+            tails=ServiceTails(clock),
+            admission=self.admission,
+            observer=observer,
+            tracer=self.traces,
+            clock=clock,
+            source=self._source,
+        )
+        self.engine = SearchEngine(self.parts)
+        self.writer = Writer(
+            fleet=self.fleet,
+            client=self.client,
+            chooser=chooser,
+            observer=observer,
+            pauses=self.pauses,
+            tracer=self.traces,
+            clock=clock,
+            source=self._source,
+        )
+        self.target_keeper = TargetKeeper(
+            self.parts, self.client, self.leaving, clock, self._source
+        )
+
+    def _wire_platform(self) -> None:
+        """Make the reader of the platform."""
+        self.intake = TicketIntake(self.node, self.roster)
+        self.reader = PlatformReader(
+            HttpPlatform(self._settings.platform_url),
+            ReaderSchedule(self.own.name, self.own.data_centre),
+            self.roster,
+            self.freshness,
+            self._take_page,
+            eventlet.sleep,
+            self._source,
+        )
+
+    def _take_page(self, entries) -> None:
+        """Take a page of the platform, which also ends the doubt after a pause."""
+        self.intake.take(entries)
+        self.pauses.confirm()
+
+    def _wire_api(self) -> None:
+        """Make the HTTP interface."""
+        catalogue = self.state.catalogue
+        queries = QueryHandlers(
+            self.engine,
+            catalogue,
+            self.admission,
+            self._clock,
+            self.metrics,
+            lambda: self.drain.refusing,
+        )
+        issuer = RequestIssuer(self.own.name, self.own.incarnation, self._clock)
+        writes = WriteHandlers(
+            issuer,
+            self.writer,
+            catalogue,
+            self.node,
+            self._clock,
+            self._source,
+            self.metrics,
+            lambda: self.drain.refusing,
+        )
+        self.status = self._make_status()
+        pages = StatusHandlers(
+            self.status, self.state, self.traces, self.metrics, self.is_ready
+        )
+        self.forwarder = writes.forwarder
+        self.api = Api(
+            queries,
+            writes,
+            pages,
+            self.drain,
+            self.traces,
+            self._clock,
+            self._source,
+            self._settings.max_body_bytes,
+        )
+
+    def _make_status(self) -> Status:
+        """Return the description of the daemon."""
+        return Status(
+            node=self.node,
+            state=self.state,
+            fleet=self.fleet,
+            held=self.held,
+            leaving=self.leaving,
+            freshness=self.freshness,
+            reader=self.reader,
+            intake=self.intake,
+            admission=self.admission,
+            client=self.client,
+            pauses=self.pauses,
+            drain=self.drain,
+        )
+
+    def _wire_metrics(self) -> None:
+        """Add the values that are read when the metrics page is."""
+        add = self.metrics.add_reading
+        add("ticket_highest", "Highest ticket in force.", lambda: self.state.highest)
+        add("objects", "Objects in force.", lambda: len(self.state.entries))
+        add("peer_links", "Open peer links.", lambda: len(self.node.links))
+        add("platform_calls", "Calls of the platform.", lambda: self.reader.calls)
+        add("platform_age_seconds", "Age of its word.", lambda: self.freshness.age)
+        add("in_flight", "Subrequests in flight.", lambda: self.admission.in_flight)
+        add("admission_limit", "Bound on them.", lambda: self.admission.limit)
+        add("pauses", "Pauses of the process.", lambda: self.pauses.pauses)
+        add("silences", "Silent connections.", lambda: self.client.silences)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send work."""
+        return bool(self.state.catalogue.services) and not self.drain.draining
+
+    def start(self) -> None:
+        """Start every task; returns at once."""
+        settings = self._settings
+        self._peer_server.start(self.node, self.forwarder)
+        keeper = LinkKeeper(
+            self.node,
+            self.forwarder,
+            parse_peers(settings.peers),
+            settings.degree,
+            settings.cross_degree,
+            self._clock,
+        )
+        for task in (
+            keeper.run,
+            self.reader.run,
+            self.target_keeper.run,
+            self._watch_pauses,
+            self._serve_api,
+        ):
+            eventlet.spawn(run_task, task)
+
+    def _serve_api(self) -> None:
+        """Serve callers."""
+        wsgi.server(
+            self._socket,
+            self.api,
+            log_output=False,
+            protocol=ApiProtocol,
+            max_size=MAX_CALLER_CONNECTIONS,
+            debug=False,
+        )
+
+    def _watch_pauses(self) -> None:
+        """Look at the clock in a short interval, and count the VMs."""
+        while True:
+            self.pauses.check()
+            known = 1 + len(self.roster.all())
+            self.fleet.set_vm_count(max(self._settings.vm_count, known))
+            eventlet.sleep(PAUSE_TICK_S)
+
+    def stop(self) -> bool:
+        """Drain; tell whether every request in progress came to its end."""
+        settings = self._settings
+        logger.info("draining")
+        whole = self.drain.run(
+            self._clock,
+            eventlet.sleep,
+            settings.drain_lag_ms / 1000,
+            settings.hard_stop_ms / 1000,
+        )
+        self.node.stop()
+        for link in list(self.node.links.values()):
+            with eventlet.Timeout(1.0, False):
+                link.flush()
+        if whole:
+            logger.info("stopped")
+        else:
+            logger.error("hard stop", in_progress=self.drain.in_progress)
+        return whole
+
+
+def run_task(task) -> None:
+    """Run a task that must not end; log what ended it."""
+    try:
+        task()
+    except Exception:
+        logger.exception("a task of the daemon ended", task=task.__qualname__)
+        raise
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/logs.py
@@ -0,0 +1,28 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import sys
+
+import orjson
+from loguru import logger
+
+
+def write_line(message) -> None:
+    """Write a loguru message as a JSON line."""
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "event": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    sys.stderr.write(orjson.dumps(line, default=str).decode() + "\n")
+    sys.stderr.flush()
+
+
+def set_up_logs(level: str, vm: str) -> None:
+    """Send all logs from a level on to standard error, each with the VM's name."""
+    logger.remove()
+    logger.add(write_line, level=level.upper())
+    logger.configure(extra={"vm": vm})
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/main.py
@@ -0,0 +1,95 @@
+"""Entry point of the daemon: flags, settings, signals and exit status."""
+
+import warnings
+
+# Eventlet announces its own end; docs/design says why it is used all the same.
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import os  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+
+import fire  # noqa: E402
+import orjson  # noqa: E402
+from cassiastair.errors import SettingsError  # noqa: E402
+from eventlet.event import Event  # noqa: E402
+from loguru import logger  # noqa: E402
+
+from .daemon import Daemon  # noqa: E402
+from .logs import set_up_logs  # noqa: E402
+from .settings import read_process_settings  # noqa: E402
+
+EXIT_BAD_SETTINGS = 2
+EXIT_NO_PORT = 3
+EXIT_HARD_STOP = 4
+
+
+def serve(check: bool = False, **flags) -> None:
+    """Run the entry daemon of the cassiastair query tier.
+
+    Every setting is a flag, such as --vm=tallinn-1, or an environment variable,
+    such as CASSIASTAIRD_VM; docs/SETTINGS.md lists them. Required are vm,
+    data_centre, host and platform_url. On start the daemon prints one JSON line
+    with its ports. SIGTERM drains and stops it; no request in progress is cut.
+
+    Parameters
+    ----------
+    check : bool
+        Only check the settings: exit with 0 if they are right, else with 2.
+    **flags
+        The settings.
+    """
+    try:
+        settings = read_process_settings(flags)
+    except SettingsError as error:
+        print(f"settings are wrong; {error.remedy}:\n{error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        print("settings are right")
+        return
+    set_up_logs(settings.log_level, settings.vm)
+    try:
+        daemon = Daemon(settings)
+    except OSError as error:
+        logger.error("cannot listen; choose free ports", reason=str(error))
+        sys.exit(EXIT_NO_PORT)
+    run_until_stopped(daemon)
+
+
+def run_until_stopped(daemon: Daemon) -> None:
+    """Run the daemon until a signal has drained it."""
+    stopping = Event()
+
+    def request_stop(number, frame) -> None:
+        """Start to drain; further signals change nothing."""
+        if not stopping.ready():
+            eventlet.spawn_n(send_once, stopping)
+
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
+    daemon.start()
+    own = daemon.own
+    line = {"vm": own.name, "api_port": own.api_port, "peer_port": own.peer_port}
+    print(orjson.dumps(line).decode(), flush=True)
+    stopping.wait()
+    whole = daemon.stop()
+    os._exit(0 if whole else EXIT_HARD_STOP)  # tasks that never end still run
+
+
+def send_once(event: Event) -> None:
+    """Send an event that may have been sent already."""
+    if not event.ready():
+        event.send(None)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(serve, name="cassiastaird")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/peers/server.py
@@ -0,0 +1,53 @@
+"""Accepts peer links."""
+
+import logging
+
+import eventlet
+from cassiastair.peers import PeerNode
+from websockets.sync.server import serve
+
+from .codec import MAX_FRAME_BYTES
+from .forwarding import Forwarder
+from .websocket_link import WebsocketLink
+
+logging.getLogger("websockets").setLevel(logging.CRITICAL)
+
+
+class PeerServer:
+    """Listens for peers; each link runs in the task of its connection.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        TCP port; 0 lets the system choose.
+    """
+
+    def __init__(self, host: str, port: int):
+        self._node: PeerNode | None = None
+        self._forwarder: Forwarder | None = None
+        self._server = serve(
+            self._run_link,
+            host,
+            port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            open_timeout=2,
+            ping_interval=None,
+        )
+        self.port = self._server.socket.getsockname()[1]
+
+    def start(self, node: PeerNode, forwarder: Forwarder) -> None:
+        """Begin to accept links."""
+        self._node = node
+        self._forwarder = forwarder
+        eventlet.spawn_n(self._server.serve_forever)
+
+    def _run_link(self, websocket) -> None:
+        """Run the link of one connection."""
+        WebsocketLink(websocket, self._node, self._forwarder).run()
+
+    def close(self) -> None:
+        """Stop accepting links."""
+        self._server.shutdown()
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/settings.py
@@ -0,0 +1,140 @@
+"""Settings from flags and environment variables, all faults reported at once."""
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+
+from cassiastair.errors import SettingsError
+from cassiastair.tickets.fields import is_name
+
+ENV_PREFIX = "CASSIASTAIRD_"
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+def setting(default, doc: str, kind: str):
+    """Return a dataclass field that describes one setting."""
+    return field(default=default, metadata={"doc": doc, "kind": kind})
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Checked settings of one daemon."""
+
+    vm: str = setting("", "name of this VM, unique in the fleet", "name")
+    data_centre: str = setting("", "data centre of this VM", "name")
+    host: str = setting("", "IP number to listen on, as others reach it", "ip")
+    api_port: int = setting(0, "TCP port for callers; 0 lets the system choose", "port")
+    peer_port: int = setting(0, "TCP port for peers; 0 lets the system choose", "port")
+    platform_url: str = setting("", "URL of the configuration service", "url")
+    peers: str = setting("", "HOST:PORT of peers to start with, by commas", "peers")
+    vm_count: int = setting(7, "VMs that share the targets' connections", "1..100000")
+    degree: int = setting(6, "peer links inside the data centre", "2..64")
+    cross_degree: int = setting(2, "peer links to other data centres", "2..16")
+    max_body_bytes: int = setting(65536, "largest body of a caller", "1..1000000")
+    drain_lag_ms: int = setting(
+        3000, "time that the balancer may still send work after SIGTERM", "0..600000"
+    )
+    hard_stop_ms: int = setting(
+        60000, "time after SIGTERM at which the process ends regardless", "1..3600000"
+    )
+    log_level: str = setting("info", "lowest level that is logged", "level")
+
+
+def read_settings(flags: Mapping[str, object], env: Mapping[str, str]) -> Settings:
+    """Read settings; a flag goes before its environment variable.
+
+    Raises
+    ------
+    SettingsError
+        If any setting is wrong; the message lists all faults.
+    """
+    problems: list[str] = []
+    values = {}
+    for item in fields(Settings):
+        variable = ENV_PREFIX + item.name.upper()
+        raw = flags.get(item.name)
+        source = f"--{item.name}"
+        if raw is None:
+            raw = env.get(variable)
+            source = variable
+        if raw is None:
+            raw = item.default
+            source = f"--{item.name} or {variable}"
+        values[item.name] = read_value(raw, item.metadata["kind"], source, problems)
+    unknown = sorted(set(flags) - set(values))
+    problems += [f"--{name}: unknown; see --help" for name in unknown]
+    prefixed = {name for name in env if name.startswith(ENV_PREFIX)}
+    known = {ENV_PREFIX + name.upper() for name in values}
+    problems += [f"{name}: unknown; see --help" for name in sorted(prefixed - known)]
+    if problems:
+        raise SettingsError("\n".join(problems))
+    return Settings(**values)
+
+
+def read_value(raw: object, kind: str, source: str, problems: list[str]):
+    """Read one value of a kind; a fault is added to the problems."""
+    text = str(raw).strip()
+    if ".." in kind:
+        low, high = map(int, kind.split(".."))
+        return read_integer(text, low, high, source, problems)
+    if kind == "port":
+        return read_integer(text, 0, 65535, source, problems)
+    check, message = CHECKS[kind]
+    if not check(text):
+        problems.append(f"{source}: is {text!r}, must be {message}")
+    return text
+
+
+def read_integer(text: str, low: int, high: int, source: str, problems: list[str]):
+    """Read an integer between two bounds, both included."""
+    if text.isascii() and text.isdigit() and low <= int(text) <= high:
+        return int(text)
+    problems.append(f"{source}: is {text!r}, must be an integer from {low} to {high}")
+    return low
+
+
+def is_ip(text: str) -> bool:
+    """Tell whether a text is an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def is_peer_list(text: str) -> bool:
+    """Tell whether a text is a list of HOST:PORT."""
+    for part in filter(None, text.split(",")):
+        host, _, port = part.strip().rpartition(":")
+        if not is_ip(host) or not port.isdigit() or not 0 < int(port) < 65536:
+            return False
+    return True
+
+
+def is_url(text: str) -> bool:
+    """Tell whether a text is the URL of an HTTP service."""
+    return text.startswith(("http://", "https://")) and len(text) > len("https://")
+
+
+CHECKS = {
+    "name": (is_name, "a name: lower-case letters, digits, '.' and '-'"),
+    "ip": (is_ip, "an IP number, such as 10.1.2.3"),
+    "peers": (is_peer_list, "HOST:PORT with IP numbers, separated by commas"),
+    "url": (is_url, "a URL that starts with http:// or https://"),
+    "level": (LOG_LEVELS.__contains__, f"one of {', '.join(LOG_LEVELS)}"),
+}
+
+
+def parse_peers(text: str) -> list[tuple[str, int]]:
+    """Return the addresses of a checked list of peers."""
+    found = []
+    for part in filter(None, text.split(",")):
+        host, _, port = part.strip().rpartition(":")
+        found.append((host, int(port)))
+    return found
+
+
+def read_process_settings(flags: Mapping[str, object]) -> Settings:
+    """Read settings from flags and this process's environment."""
+    return read_settings(flags, os.environ)
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/status.py
@@ -0,0 +1,122 @@
+"""Description of the daemon for operators."""
+
+import resource
+from dataclasses import dataclass
+
+from cassiastair.admission import AdaptiveAdmission
+from cassiastair.errors import NotFoundError
+from cassiastair.membership import Freshness, LeavingTargets
+from cassiastair.pauses import PauseDetector
+from cassiastair.peers import PeerNode
+from cassiastair.platform import PlatformReader
+from cassiastair.snapshots import HeldTable
+from cassiastair.targets import TargetFleet
+from cassiastair.tickets import StateMap
+
+from .drain import Drain
+from .targets import HttpTargetClient
+from .ticket_intake import TicketIntake
+
+
+@dataclass(frozen=True)
+class Status:
+    """Reads the parts that the status page describes."""
+
+    node: PeerNode
+    state: StateMap
+    fleet: TargetFleet
+    held: HeldTable
+    leaving: LeavingTargets
+    freshness: Freshness
+    reader: PlatformReader
+    intake: TicketIntake
+    admission: AdaptiveAdmission
+    client: HttpTargetClient
+    pauses: PauseDetector
+    drain: Drain
+
+    def describe(self) -> dict:
+        """Describe the daemon."""
+        own = self.node.own
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        links = self.node.links.values()
+        return {
+            "vm": own.name,
+            "incarnation": own.incarnation,
+            "data_centre": own.data_centre,
+            "draining": self.drain.draining,
+            "in_progress": self.drain.in_progress,
+            "tickets": {
+                "highest": self.state.highest,
+                "objects": len(self.state.entries),
+                "digest": self.state.digest.root.hex(),
+                "refused": self.intake.describe_refused(),
+            },
+            "platform": {
+                "age_s": round_age(self.freshness.age),
+                "revision": self.reader.revision,
+                "calls": self.reader.calls,
+                "failures": self.reader.failures,
+            },
+            "peers": {
+                "links": sorted(self.node.links),
+                "known": sorted(vm.name for vm in self.node.roster.all()),
+                "bytes_sent": sum(link.bytes_sent for link in links),
+                "bytes_received": sum(link.bytes_received for link in links),
+                "repairs": self.node.counts.repairs,
+            },
+            "targets": {
+                "in_force": len(self.state.catalogue.targets),
+                "leaving": sorted(
+                    {mark.target for mark in self.leaving.all()} | self.leaving.listed
+                ),
+                "down": sorted(e.target.name for e in self.fleet.known() if e.down),
+                "connections": sum(pool.size for pool in self.client.pools()),
+                "connections_opened": sum(p.opened for p in self.client.pools()),
+            },
+            "admission": {
+                "limit": round(self.admission.limit),
+                "in_flight": self.admission.in_flight,
+            },
+            "process": {
+                "peak_rss_mb": round(usage.ru_maxrss / 1024, 1),
+                "cpu_s": round(usage.ru_utime + usage.ru_stime, 3),
+                "pauses": self.pauses.pauses,
+            },
+        }
+
+    def describe_target(self, name: str) -> dict:
+        """Describe what is known of a target.
+
+        Raises
+        ------
+        NotFoundError
+            If no such target is in force.
+        """
+        target = self.state.catalogue.targets.get(name)
+        if target is None:
+            raise NotFoundError(f"no target {name[:80]!r} is in force")
+        evidence = self.fleet.get(target)
+        held = self.held.get(name) or ()
+        return {
+            "target": name,
+            "service": target.service,
+            "data_centre": target.data_centre,
+            "address": f"{target.host}:{target.port}",
+            "leaving": target.leaving or self.leaving.is_leaving(name),
+            "down": evidence.down,
+            "incarnation": evidence.incarnation,
+            "in_flight": evidence.in_flight,
+            "limit": evidence.gate.limit.current,
+            "connection_share": self.fleet.connection_share(target),
+            "latency_ms": None
+            if evidence.latency is None
+            else round(evidence.latency * 1000, 3),
+            "reported_load": evidence.reported_load,
+            "held": [[span.epoch, span.low, span.high] for span in held],
+        }
+
+
+def round_age(age: float) -> float | None:
+    """Return an age in seconds; None for never."""
+    return None if age == float("inf") else round(age, 2)
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/target_keeper.py
@@ -0,0 +1,87 @@
+"""Background care for targets: warm connections, reports where nothing is known."""
+
+import random
+
+import eventlet
+from cassiastair.clock import Clock
+from cassiastair.membership import LeavingTargets
+from cassiastair.search.engine import learn_from_report
+from cassiastair.search.parts import SearchParts
+from cassiastair.targets import TargetFailure
+from cassiastair.targets.evidence import Evidence
+
+from .targets import HttpTargetClient
+
+TICK_S = 0.5
+WARM_CONNECTIONS = 1  # idle connections kept to each target
+IDLE_REPORT_S = 5.0  # age of the last answer at which a report is asked for
+DOWN_REPORT_S = 1.0  # the same for a target that is down
+REPORT_TIMEOUT_S = 1.0
+CHECKS_AT_ONCE = 50  # per tick, so that a large fleet is looked at in turn
+
+
+class TargetKeeper:
+    """Asks targets for reports when their own answers tell too little.
+
+    Parameters
+    ----------
+    parts : SearchParts
+        Evidence, client and observer.
+    client : HttpTargetClient
+        Opens connections in advance.
+    leaving : LeavingTargets
+        Targets that get no new work; they are asked too, since a new incarnation
+        of them serves again.
+    clock : Clock
+        Source of time.
+    source : random.Random
+        Spreads the reports over time.
+    """
+
+    def __init__(
+        self,
+        parts: SearchParts,
+        client: HttpTargetClient,
+        leaving: LeavingTargets,
+        clock: Clock,
+        source: random.Random,
+    ):
+        self._parts = parts
+        self._client = client
+        self._leaving = leaving
+        self._clock = clock
+        self._source = source
+        self._due: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Look after the targets for as long as the process runs."""
+        while True:
+            self.tick()
+            eventlet.sleep(TICK_S)
+
+    def tick(self) -> None:
+        """Check the targets that are due."""
+        targets = self._parts.catalogue.targets
+        self._client.keep_only(set(targets))
+        now = self._clock.now()
+        due = [t for t in targets.values() if self._due.get(t.name, 0.0) <= now]
+        for target in due[:CHECKS_AT_ONCE]:
+            evidence = self._parts.fleet.get(target)
+            pause = DOWN_REPORT_S if evidence.down else IDLE_REPORT_S
+            self._due[target.name] = now + pause * (0.75 + self._source.random() / 2)
+            eventlet.spawn_n(self._check, evidence)
+
+    def _check(self, evidence: Evidence) -> None:
+        """Ask a target for its report if its own answers are old, and keep it warm."""
+        quiet = self._clock.now() - evidence.answered_at >= IDLE_REPORT_S
+        leaving = self._leaving.is_leaving(evidence.target.name)
+        unknown = self._parts.held.get(evidence.target.name) is None
+        if quiet or leaving or unknown or evidence.down:
+            learn_from_report(self._parts, evidence, REPORT_TIMEOUT_S)
+        if evidence.down or leaving:
+            return
+        try:
+            with eventlet.Timeout(REPORT_TIMEOUT_S, False):
+                self._client.warm(evidence.target, WARM_CONNECTIONS)
+        except TargetFailure as failure:
+            self._parts.observer.failed(evidence, failure)
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/targets/__init__.py
@@ -0,0 +1,5 @@
+"""The adapter for the targets' HTTP protocol."""
+
+from .client import HttpTargetClient
+
+__all__ = ["HttpTargetClient"]
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/targets/client.py
@@ -0,0 +1,206 @@
+"""The client of the target protocol over HTTP."""
+
+from collections.abc import Callable
+from http.client import HTTPException
+
+import eventlet
+from cassiastair.clock import Clock
+from cassiastair.data import Attempt, ShardAnswer, Target
+from cassiastair.targets import (
+    BrokenFailure,
+    ConnectFailure,
+    TargetClient,
+    TargetFailure,
+    TargetFleet,
+    TargetReport,
+)
+from cassiastair.targets.fleet import is_same_process
+from urllib3.exceptions import HTTPError
+
+from .codec import (
+    decode_object,
+    decode_read,
+    decode_refusal,
+    decode_report,
+    encode_read,
+    encode_write,
+)
+from .connection import TargetConnection
+from .pool import TargetPool
+
+BROKEN = (OSError, HTTPException, HTTPError, ValueError)
+JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
+
+
+class HttpTargetClient(TargetClient):
+    """Pools connections to each target and speaks the target protocol.
+
+    Parameters
+    ----------
+    fleet : TargetFleet
+        Knows this VM's share of each target's connections.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, fleet: TargetFleet, clock: Clock):
+        self._fleet = fleet
+        self._clock = clock
+        self._pools: dict[str, TargetPool] = {}
+        self.silences = 0
+
+    def pools(self) -> list[TargetPool]:
+        """Return the pools of all targets."""
+        return list(self._pools.values())
+
+    def keep_only(self, names: set[str]) -> None:
+        """Close the pools of all other targets."""
+        for name in set(self._pools) - names:
+            self._pools.pop(name).close()
+
+    def warm(self, target: Target, count: int) -> None:
+        """Open idle connections in advance.
+
+        Raises
+        ------
+        ConnectFailure
+            If no connection can be made.
+        """
+        try:
+            self._pool(target).warm(count)
+        except BROKEN as error:
+            raise ConnectFailure(f"no connection: {error}") from error
+
+    def _pool(self, target: Target) -> TargetPool:
+        """Return the pool of a target, new if its address changed."""
+        pool = self._pools.get(target.name)
+        if pool is not None and is_same_process(pool.target, target):
+            return pool
+        if pool is not None:
+            pool.close()
+        pool = TargetPool(target, self._fleet, self._clock)
+        self._pools[target.name] = pool
+        return pool
+
+    def ask(self, target: Target, attempt: Attempt) -> ShardAnswer:
+        """Send a read and return the answer that echoes its attempt."""
+        body = encode_read(attempt, attempt.deadline - self._clock.now())
+        headers = {**JSON_HEADERS, "traceparent": attempt.trace}
+
+        def decode(status: int, data: bytes) -> ShardAnswer:
+            """Decode an answer or refusal."""
+            if status == 200:
+                return decode_read(data, attempt)
+            raise decode_refusal(data, status, attempt)
+
+        return self._exchange(target, "/v1/read", body, headers, decode)
+
+    def cancel(self, target: Target, attempt: str) -> None:
+        """Cancel an attempt, if a connection is free for it."""
+        if not self._pool(target).has_room:
+            return
+        body = b'{"attempt":"%s"}' % attempt.encode()
+        try:
+            self._exchange(target, "/v1/cancel", body, JSON_HEADERS, lambda *_: None)
+        except TargetFailure:
+            return  # the attempt's connection is closed soon anyway
+
+    def report(self, target: Target, timeout: float) -> TargetReport:
+        """Ask a target for its report."""
+        if not self._pool(target).has_room:
+            raise TargetFailure("all connections are in use")
+
+        def decode(status: int, data: bytes) -> TargetReport:
+            """Decode a report."""
+            return decode_report(data)
+
+        with eventlet.Timeout(timeout, False):
+            return self._exchange(target, "/v1/report", None, JSON_HEADERS, decode)
+        raise ConnectFailure("no report in time")
+
+    def _exchange(
+        self,
+        target: Target,
+        path: str,
+        body: bytes | None,
+        headers: dict,
+        decode: Callable[[int, bytes], object],
+    ):
+        """Do one exchange on a pooled connection.
+
+        A connection goes back to the pool only after a whole answer that decoded.
+        """
+        pool = self._pool(target)
+        connection = self._take(pool)
+        method = "GET" if body is None else "POST"
+        started = self._clock.now()
+        try:
+            status, data = connection.exchange(method, path, body, headers)
+        except BROKEN as error:
+            pool.discard(connection)
+            raise BrokenFailure(f"the connection broke: {error!r}") from error
+        except BaseException:  # the task was killed: nobody knows what is to come
+            pool.discard(connection)
+            pool.distrust(started)
+            self.silences += 1
+            raise
+        return self._finish(pool, connection, status, data, decode)
+
+    def _take(self, pool: TargetPool) -> TargetConnection:
+        """Take a connection from a pool."""
+        try:
+            return pool.take()
+        except BROKEN as error:
+            raise ConnectFailure(f"no connection: {error}") from error
+
+    @staticmethod
+    def _finish(pool, connection, status: int, data: bytes, decode):
+        """Decode an answer; refusals leave the connection usable."""
+        try:
+            decoded = decode(status, data)
+        except TargetFailure as failure:
+            if failure.proves_not_run:
+                pool.put(connection)
+            else:
+                pool.discard(connection)
+            raise
+        pool.put(connection)
+        return decoded
+
+    def write(self, target: Target, attempt: Attempt, request_id: str) -> dict:
+        """Send a non-idempotent request once."""
+        headers = {**JSON_HEADERS, "traceparent": attempt.trace}
+        pool = self._pool(target)
+        left = attempt.deadline - self._clock.now()
+        connection = None
+        with eventlet.Timeout(left, False):
+            connection = self._take(pool)
+        if connection is None:
+            raise ConnectFailure("no connection in time")
+        left = attempt.deadline - self._clock.now()
+        body = encode_write(attempt, request_id, left)
+
+        def decode(status: int, data: bytes) -> dict:
+            """Decode a result or refusal."""
+            if status == 200:
+                return decode_object(data, attempt.attempt).get("result") or {}
+            raise decode_refusal(data, status, attempt)
+
+        return self._hand_over(pool, connection, left, body, headers, decode)
+
+    def _hand_over(self, pool, connection, left: float, body, headers, decode) -> dict:
+        """Send a write on a connection; from here on silence means unknown."""
+        answer = None
+        try:
+            with eventlet.Timeout(left, False):
+                answer = connection.exchange("POST", "/v1/write", body, headers)
+        except BROKEN as error:
+            pool.discard(connection)
+            raise BrokenFailure(f"the connection broke: {error!r}") from error
+        except BaseException:
+            pool.discard(connection)
+            raise
+        if answer is None:
+            pool.discard(connection)
+            raise BrokenFailure("no answer in time")
+        return self._finish(pool, connection, *answer, decode)
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/targets/codec.py
@@ -0,0 +1,162 @@
+"""The JSON bodies of the target protocol, described in docs/TARGETS.md."""
+
+import orjson
+from cassiastair.data import Attempt, HeldVersions, KeyRange, ShardAnswer, Snapshot
+from cassiastair.data.key_range import is_valid_range
+from cassiastair.targets import (
+    BadAnswerFailure,
+    NotHeldFailure,
+    RefusedFailure,
+    TargetFailure,
+    TargetReport,
+)
+
+NOT_RUN_CODES = {"shed", "draining", "expired"}
+MAX_SPANS = 64
+
+
+def encode_read(attempt: Attempt, time_left: float) -> bytes:
+    """Return the body of a read."""
+    return orjson.dumps(
+        {
+            "attempt": attempt.attempt,
+            "service": attempt.service,
+            "version": attempt.snapshot.version,
+            "epoch": attempt.snapshot.epoch,
+            "start": attempt.key_range.start,
+            "end": attempt.key_range.end,
+            "query": attempt.query,
+            "deadline_ms": int(time_left * 1000),
+        }
+    )
+
+
+def encode_write(attempt: Attempt, request_id: str, time_left: float) -> bytes:
+    """Return the body of a write."""
+    return orjson.dumps(
+        {
+            "attempt": attempt.attempt,
+            "request_id": request_id,
+            "service": attempt.service,
+            "key": attempt.query["key"],
+            "body": attempt.query["body"],
+            "deadline_ms": int(time_left * 1000),
+        }
+    )
+
+
+def decode_object(raw: bytes, attempt: str) -> dict:
+    """Return the JSON object of an answer that echoes an attempt.
+
+    Raises
+    ------
+    BadAnswerFailure
+        If the body is no JSON object or answers another attempt.
+    """
+    try:
+        document = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        raise BadAnswerFailure(f"the answer is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise BadAnswerFailure("the answer is not a JSON object")
+    if document.get("attempt") != attempt:
+        raise BadAnswerFailure("the answer is to another attempt")
+    return document
+
+
+def decode_read(raw: bytes, attempt: Attempt) -> ShardAnswer:
+    """Return the answer to a read.
+
+    Raises
+    ------
+    BadAnswerFailure
+        If anything in it is malformed.
+    """
+    document = decode_object(raw, attempt.attempt)
+    records = document.get("records")
+    if not isinstance(records, list):
+        raise BadAnswerFailure("the answer has no list of records")
+    start, end = document.get("start"), document.get("end")
+    if not is_valid_range(start, end):
+        raise BadAnswerFailure("the answer's key range is not valid")
+    return ShardAnswer(
+        attempt=attempt.attempt,
+        service=str(document.get("service")),
+        snapshot=Snapshot(
+            read_integer(document, "version"), read_integer(document, "epoch")
+        ),
+        key_range=KeyRange(start, end),
+        records=tuple(records),
+        held=decode_held(document.get("held")),
+        incarnation=str(document.get("incarnation", "")),
+        load=read_load(document),
+    )
+
+
+def read_integer(document: dict, field: str) -> int:
+    """Return an integer of an answer."""
+    value = document.get(field)
+    if type(value) is not int:
+        raise BadAnswerFailure(f"the answer's {field} is not an integer")
+    return value
+
+
+def read_load(document: dict) -> float:
+    """Return the load that an answer reports; zero if there is none."""
+    value = document.get("load", 0.0)
+    if type(value) not in (int, float) or not 0 <= value < 1e6:
+        raise BadAnswerFailure("the answer's load is not a number")
+    return float(value)
+
+
+def decode_held(raw: object) -> tuple[HeldVersions, ...]:
+    """Return the versions that a target says it holds.
+
+    Raises
+    ------
+    BadAnswerFailure
+        If they are malformed.
+    """
+    if not isinstance(raw, list) or len(raw) > MAX_SPANS:
+        raise BadAnswerFailure("the held versions are not a list")
+    spans = []
+    for item in raw:
+        whole = isinstance(item, list) and len(item) == 3
+        if not whole or not all(type(value) is int for value in item):
+            raise BadAnswerFailure("a span of held versions is malformed")
+        spans.append(HeldVersions(*item))
+    return tuple(spans)
+
+
+def decode_refusal(raw: bytes, status: int, attempt: Attempt) -> TargetFailure:
+    """Return the failure that an answer with an error status stands for."""
+    document = decode_object(raw, attempt.attempt)
+    code = document.get("code")
+    incarnation = str(document.get("incarnation", ""))
+    if code == "not_held":
+        return NotHeldFailure(
+            "does not hold the snapshot", decode_held(document["held"])
+        )
+    if code in NOT_RUN_CODES:
+        return RefusedFailure(f"refused: {code}", code, incarnation)
+    return BadAnswerFailure(f"answered with status {status} and code {code!r}")
+
+
+def decode_report(raw: bytes) -> TargetReport:
+    """Return a target's report.
+
+    Raises
+    ------
+    BadAnswerFailure
+        If it is malformed.
+    """
+    try:
+        document = orjson.loads(raw)
+        return TargetReport(
+            incarnation=str(document["incarnation"]),
+            serving=document["serving"] is True,
+            load=read_load(document),
+            held=decode_held(document["held"]),
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
+        raise BadAnswerFailure(f"the report is malformed: {error!r}") from error
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -0,0 +1,133 @@
+"""Connections to one target, within this VM's share of its limit."""
+
+from cassiastair.clock import Clock
+from cassiastair.data import Target
+from cassiastair.targets import TargetFleet
+from cassiastair.targets.gate import Gate
+from cassiastair.targets.limit import ConcurrencyLimit
+
+from .connection import TargetConnection
+
+
+class ShareLimit(ConcurrencyLimit):
+    """Share of a target's connections that is this VM's, as the fleet counts it now.
+
+    Parameters
+    ----------
+    fleet : TargetFleet
+        Knows how many VMs share the target.
+    target : Target
+        The target.
+    """
+
+    def __init__(self, fleet: TargetFleet, target: Target):
+        self._fleet = fleet
+        self._target = target
+
+    @property
+    def current(self) -> int:
+        """Connections that may be open now."""
+        return self._fleet.connection_share(self._target)
+
+    def succeeded(self, in_flight: int) -> None:
+        """Take no note: the share does not follow the load."""
+
+    def refused(self) -> None:
+        """Take no note."""
+
+
+class TargetPool:
+    """Idle connections, the most recently used first.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    fleet : TargetFleet
+        Knows this VM's share of the connections.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, target: Target, fleet: TargetFleet, clock: Clock):
+        self.target = target
+        self.opened = 0
+        self._clock = clock
+        self._limit = ShareLimit(fleet, target)
+        self._gate = Gate(self._limit)
+        self._idle: list[TargetConnection] = []
+
+    @property
+    def size(self) -> int:
+        """Open connections, in use or idle."""
+        return self._gate.inside + len(self._idle)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a connection can be taken without waiting."""
+        return self._gate.inside < self._limit.current
+
+    def take(self) -> TargetConnection:
+        """Return a connection, waiting for one within the share.
+
+        Raises
+        ------
+        OSError
+            If no connection can be made.
+        """
+        self._gate.enter()
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                if not connection.is_dropped():
+                    return connection
+                connection.close()
+            self.opened += 1
+            return TargetConnection(self.target, self._clock)
+        except BaseException:
+            self._gate.leave()
+            raise
+
+    def put(self, connection: TargetConnection) -> None:
+        """Take a connection back whose answer was read to its end."""
+        connection.answered_at = self._clock.now()
+        self._gate.leave()
+        if self.size < self._limit.current and connection.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection whose answer did not come whole."""
+        connection.close()
+        self._gate.leave()
+
+    def distrust(self, since: float) -> None:
+        """Close idle connections that have not answered since some time.
+
+        Something between the two ends may have lost track of all connections of
+        one age when one of them goes silent.
+        """
+        kept = [c for c in self._idle if c.answered_at >= since]
+        for connection in self._idle:
+            if connection.answered_at < since:
+                connection.close()
+        self._idle = kept
+
+    def warm(self, count: int) -> None:
+        """Open idle connections up to a number, within the share.
+
+        Raises
+        ------
+        OSError
+            If no connection can be made.
+        """
+        while len(self._idle) < count and self.size < self._limit.current:
+            connection = self.take()
+            self.put(connection)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,164 @@
+"""A stand-in for the platform's configuration service, with its faults."""
+
+import time
+from collections import Counter
+from urllib.parse import parse_qs, urlsplit
+
+import eventlet
+from eventlet.event import Event
+
+from .raw_http import RawRequest, RequestReader, format_reply
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_PAGE_BYTES = 1_000_000
+CALLS_PER_SECOND = 2000
+LONGEST_WAIT_S = 30.0
+
+
+class PlatformServer:
+    """Holds values by key; reads and watches on one port, control on another.
+
+    Parameters
+    ----------
+    host : str
+        Loopback address to listen on.
+    port : int
+        TCP port; 0 lets the system choose.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0):
+        self._values: dict[str, tuple[int, str]] = {}
+        self.revision = 0
+        self.counts: Counter = Counter()
+        self._per_second: Counter = Counter()
+        self._news = Event()
+        self.down = False
+        self.frozen = False
+        self.stale_at: int | None = None
+        self._listener = eventlet.listen((host, port), backlog=512)
+        self._control = eventlet.listen((host, 0))
+        self.port = self._listener.getsockname()[1]
+        self.control_port = self._control.getsockname()[1]
+        self._tasks: list = []
+
+    def start(self) -> None:
+        """Begin to accept connections; returns at once."""
+        for listener, answer in (
+            (self._listener, self._answer),
+            (self._control, self._answer_control),
+        ):
+            self._tasks.append(eventlet.spawn(self._accept, listener, answer))
+
+    def stop(self) -> None:
+        """Stop accepting connections."""
+        for task in self._tasks:
+            task.kill()
+        self._listener.close()
+        self._control.close()
+
+    def _accept(self, listener, answer) -> None:
+        """Accept connections."""
+        while True:
+            sock, _ = listener.accept()
+            eventlet.spawn_n(self._serve, sock, answer)
+
+    def _serve(self, sock, answer) -> None:
+        """Serve the requests of one connection."""
+        reader = RequestReader(sock)
+        try:
+            while (request := reader.read()) is not None:
+                reply = answer(request)
+                if reply is None:
+                    return
+                sock.sendall(reply)
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+    def publish(self, key: str, value: str) -> int:
+        """Publish a value and return its revision.
+
+        Raises
+        ------
+        ValueError
+            If the value is larger than a megabyte.
+        """
+        if len(value.encode()) > MAX_VALUE_BYTES:
+            raise ValueError(f"a value has at most {MAX_VALUE_BYTES} bytes")
+        self.revision += 1
+        self._values[key] = (self.revision, value)
+        news, self._news = self._news, Event()
+        news.send(None)
+        return self.revision
+
+    def _answer(self, request: RawRequest) -> bytes | None:
+        """Answer a read or watch, and count it."""
+        if self.down:
+            return None
+        self._count_call()
+        while self.frozen:
+            eventlet.sleep(0.05)
+        if self._per_second[int(time.monotonic())] > CALLS_PER_SECOND:
+            return format_reply(429, {"error": "too many calls"})
+        parts = urlsplit(request.path)
+        if parts.path != "/v1/watch":
+            return format_reply(404, {"error": "no such path"})
+        query = parse_qs(parts.query)
+        after = int(query["after"][0])
+        wait = min(float(query.get("wait", ["0"])[0]), LONGEST_WAIT_S)
+        return self._watch(after, wait)
+
+    def _count_call(self) -> None:
+        """Count a call in total and in its second."""
+        self.counts["calls"] += 1
+        second = int(time.monotonic())
+        self._per_second[second] += 1
+        highest = max(self.counts["calls_highest"], self._per_second[second])
+        self.counts["calls_highest"] = highest
+
+    def _watch(self, after: int, wait: float) -> bytes | None:
+        """Return the values after a revision, waiting for news if there are none."""
+        if after >= self._visible() and wait > 0:
+            with eventlet.Timeout(wait, False):
+                while after >= self._visible():
+                    self._news.wait()
+        if self.down:
+            return None
+        return format_reply(200, self._page(after))
+
+    def _visible(self) -> int:
+        """Return the revision that readers see."""
+        return self.revision if self.stale_at is None else self.stale_at
+
+    def _page(self, after: int) -> dict:
+        """Return a page of at most a megabyte."""
+        visible = self._visible()
+        rows = sorted(
+            (revision, key, value)
+            for key, (revision, value) in self._values.items()
+            if after < revision <= visible
+        )
+        entries = []
+        size = 0
+        for revision, key, value in rows:
+            size += len(value)
+            if entries and size > MAX_PAGE_BYTES:
+                last = entries[-1]["revision"]
+                return {"revision": last, "entries": entries, "more": True}
+            entries.append({"key": key, "revision": revision, "value": value})
+        return {"revision": visible, "entries": entries, "more": False}
+
+    def _answer_control(self, request: RawRequest) -> bytes:
+        """Publish values and switch faults."""
+        body = request.json()
+        if "key" in body:
+            try:
+                self.publish(body["key"], body["value"])
+            except ValueError as error:
+                return format_reply(413, {"error": str(error)})
+        for name in ("down", "frozen", "stale_at"):
+            if name in body:
+                setattr(self, name, body[name])
+        document = {"revision": self.revision, "counts": dict(self.counts)}
+        return format_reply(200, document)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,100 @@
+"""Starts and stops the processes of a session; ends only what it started."""
+
+import os
+import signal
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+START_TIMEOUT_S = 60
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@dataclass
+class Process:
+    """A process with what it printed on its first line."""
+
+    name: str
+    popen: subprocess.Popen
+    ready: dict
+    errors: Path
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.popen.pid
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        if self.popen.poll() is None:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def stop(self, timeout: float) -> int:
+        """Send SIGTERM and return the exit status."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(timeout)
+
+
+class ProcessGroup:
+    """All processes of a session.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for what the processes write to standard error.
+    """
+
+    def __init__(self, folder: Path):
+        self._folder = folder
+        self._started: list[Process] = []
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def start(self, name: str, *command: str, **env: str) -> Process:
+        """Start a Python module and wait for its first line."""
+        errors = self._folder / f"{name}.log"
+        with errors.open("ab") as log:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", *command],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+                env={**os.environ, **env},
+                start_new_session=True,
+            )
+        process = Process(name, popen, {}, errors)
+        self._started.append(process)
+        line = popen.stdout.readline()
+        if not line:
+            popen.wait()
+            raise RuntimeError(f"{name} did not start: {errors.read_text()[-2000:]}")
+        process.ready = orjson.loads(line)
+        return process
+
+    def start_all(self, commands: list[tuple[str, ...]]) -> list[Process]:
+        """Start several processes at the same time."""
+        with ThreadPoolExecutor(max_workers=12) as pool:
+            return list(pool.map(lambda command: self.start(*command), commands))
+
+    def stop_all(self) -> None:
+        """Kill everything that still runs."""
+        for process in self._started:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self._started:
+            process.popen.wait()
+            process.popen.stdout.close()
+
+    def __enter__(self) -> "ProcessGroup":
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop_all()
--- /dev/null
+++ b/standins/raw_http.py
@@ -0,0 +1,80 @@
+"""Just enough HTTP for the stand-ins, with the sockets in reach of their faults."""
+
+from dataclasses import dataclass
+
+import orjson
+
+MAX_HEAD_BYTES = 16_384
+RECEIVE_BYTES = 65_536
+PHRASES = {200: "OK"}
+
+
+@dataclass(frozen=True, slots=True)
+class RawRequest:
+    """A request as it came in."""
+
+    method: str
+    path: str
+    body: bytes
+
+    def json(self) -> dict:
+        """Return the JSON body; empty if there is none."""
+        return orjson.loads(self.body) if self.body else {}
+
+
+class RequestReader:
+    """Reads one request after the other from a socket.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        An accepted connection.
+    """
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._buffer = b""
+
+    def read(self) -> RawRequest | None:
+        """Return the next request; None at the end of the connection."""
+        while b"\r\n\r\n" not in self._buffer:
+            if len(self._buffer) > MAX_HEAD_BYTES or not self._receive():
+                return None
+        head, _, self._buffer = self._buffer.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        method, path, _ = lines[0].split(" ", 2)
+        length = find_length(lines[1:])
+        while len(self._buffer) < length:
+            if not self._receive():
+                return None
+        body, self._buffer = self._buffer[:length], self._buffer[length:]
+        return RawRequest(method, path, body)
+
+    def _receive(self) -> bool:
+        """Receive some bytes; False at the end of the connection."""
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except OSError:
+            return False
+        self._buffer += data
+        return bool(data)
+
+
+def find_length(headers: list[str]) -> int:
+    """Return the length of the body that the headers announce."""
+    for header in headers:
+        name, _, value = header.partition(":")
+        if name.lower() == "content-length":
+            return int(value)
+    return 0
+
+
+def format_reply(status: int, document: object) -> bytes:
+    """Return a whole reply with a JSON body."""
+    body = orjson.dumps(document)
+    phrase = PHRASES.get(status, "Status")
+    head = (
+        f"HTTP/1.1 {status} {phrase}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/standins/session.py
@@ -0,0 +1,158 @@
+"""A whole session of processes: platform, targets and daemons."""
+
+import time
+from pathlib import Path
+
+import orjson
+
+from .caller import Caller
+from .layouts import (
+    ServiceLayout,
+    TargetPlan,
+    describe_layout,
+    describe_target,
+    plan_targets,
+    write_ticket,
+)
+from .processes import Process, ProcessGroup
+
+POLL_S = 0.05
+
+
+class Session:
+    """Starts the processes of a session and keeps callers to each of them.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for the processes' logs.
+    vm_count : int
+        VMs that share the targets' connections.
+    """
+
+    def __init__(self, folder: Path, vm_count: int = 7):
+        self.processes = ProcessGroup(folder)
+        self.vm_count = vm_count
+        self.targets: dict[str, Process] = {}
+        self.daemons: dict[str, Process] = {}
+        self.callers: dict[str, Caller] = {}
+        self._peer_ports: list[int] = []
+        self._next_ticket = 1
+        self.platform = self.processes.start("platform", "standins.platform")
+        self.platform_control = Caller(self.platform.ready["control_port"])
+
+    def __enter__(self) -> "Session":
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.processes.stop_all()
+
+    def start_targets(self, layouts: list[ServiceLayout], **more) -> None:
+        """Start the targets of some families, all at the same time."""
+        plans = [plan for layout in layouts for plan in plan_targets(layout)]
+        commands = [
+            (p.name, "standins.target", describe_process(p, seed, more))
+            for seed, p in enumerate(plans)
+        ]
+        for plan, process in zip(
+            plans, self.processes.start_all(commands), strict=True
+        ):
+            self.targets[plan.name] = process
+
+    def restart_target(self, plan: TargetPlan, port: int, **more) -> None:
+        """Start a target again on its old port."""
+        settings = describe_process(plan, 1, more)
+        process = self.processes.start(
+            plan.name, "standins.target", settings, str(port)
+        )
+        self.targets[plan.name] = process
+
+    def publish(self, changes: list, number: int | None = None) -> int:
+        """Publish a ticket; returns its number."""
+        if number is None:
+            number = self._next_ticket
+        self._next_ticket = max(self._next_ticket, number + 1)
+        body = {"key": f"tickets/{number}", "value": write_ticket(number, changes)}
+        reply = self.platform_control.post("/", body)
+        assert reply.status == 200, reply
+        return number
+
+    def publish_layouts(
+        self, layouts: list[ServiceLayout], data_centre: str, shards: int = 1
+    ) -> int:
+        """Publish one ticket with families of services and their targets."""
+        changes = []
+        for layout in layouts:
+            changes += describe_layout(layout, shards=shards)
+            for plan in plan_targets(layout):
+                port = self.targets[plan.name].ready["port"]
+                changes.append(describe_target(plan, port, data_centre))
+        return self.publish(changes)
+
+    def start_daemon(self, vm: str, data_centre: str, **settings) -> Process:
+        """Start an entry daemon that knows the daemons started before it."""
+        peers = ",".join(f"127.0.0.1:{port}" for port in self._peer_ports)
+        flags = {
+            "vm": vm,
+            "data_centre": data_centre,
+            "host": "127.0.0.1",
+            "platform_url": f"http://127.0.0.1:{self.platform.ready['port']}",
+            "vm_count": self.vm_count,
+            "peers": peers,
+            **settings,
+        }
+        command = [f"--{name}={value}" for name, value in flags.items()]
+        process = self.processes.start(vm, "cassiastaird.main", *command)
+        self.daemons[vm] = process
+        self.callers[vm] = Caller(process.ready["api_port"])
+        self._peer_ports.append(process.ready["peer_port"])
+        return process
+
+    def control(self, target: str, **changes) -> dict:
+        """Change a target's settings; returns its counts."""
+        caller = Caller(self.targets[target].ready["control_port"])
+        return caller.post("/", changes).body
+
+    def wait_until(self, condition, timeout: float = 20.0) -> None:
+        """Wait for a condition.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not come true in time.
+        """
+        deadline = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError("the condition did not come true")
+            time.sleep(POLL_S)
+
+    def is_ready(self, vm: str) -> bool:
+        """Tell whether a daemon is ready."""
+        return self.callers[vm].get("/ready").status == 200
+
+    def wait_ready(self, objects: int = 1) -> None:
+        """Wait until every daemon is ready, linked, and has some objects in force."""
+        for vm in self.daemons:
+            self.wait_until(lambda vm=vm: self.is_ready(vm))
+            self.wait_until(lambda vm=vm: self._is_linked(vm, objects))
+
+    def _is_linked(self, vm: str, objects: int) -> bool:
+        """Tell whether a daemon is linked with all others and up to date."""
+        status = self.callers[vm].get("/status").body
+        linked = len(status["peers"]["links"]) >= min(len(self.daemons) - 1, 6)
+        return linked and status["tickets"]["objects"] >= objects
+
+
+def describe_process(plan: TargetPlan, seed: int, more: dict) -> str:
+    """Return the settings of a target process as JSON."""
+    settings = {
+        "name": plan.name,
+        "service": plan.service,
+        "slots": plan.layout.slots,
+        "connection_limit": plan.layout.connections,
+        "connect_ms": plan.layout.connect_ms,
+        "seed": seed,
+        **more,
+    }
+    return orjson.dumps(settings).decode()
--- /dev/null
+++ b/standins/target_server.py
@@ -0,0 +1,316 @@
+"""A target stand-in: the target protocol, its limits, and its faults."""
+
+import random
+import time
+from collections import Counter, deque
+
+import eventlet
+import orjson
+from eventlet.event import Event
+from eventlet.semaphore import Semaphore
+
+from .raw_http import RawRequest, RequestReader, format_reply
+from .records import answer_query, make_records
+from .target_settings import TargetSettings
+
+COLD_FACTOR = 5.0
+FROZEN_POLL_S = 0.05
+
+
+class TargetServer:
+    """Serves one target on one port, and its control path on another.
+
+    Parameters
+    ----------
+    settings : TargetSettings
+        Size, speed and faults.
+    host : str
+        Loopback address to listen on.
+    port : int
+        TCP port; 0 lets the system choose.
+    """
+
+    def __init__(
+        self, settings: TargetSettings, host: str = "127.0.0.1", port: int = 0
+    ):
+        self.settings = settings
+        self._random = random.Random(settings.seed)
+        self.incarnation = f"{time.time_ns():x}"
+        self._records = make_records(settings.service)
+        self._slots = Semaphore(settings.slots)
+        self.counts: Counter = Counter()
+        self.executions: Counter = Counter()
+        self._busy = 0
+        self._loads: deque = deque([(0.0, 0.0)], maxlen=4096)
+        self._started = time.monotonic()
+        self._cancelled: dict[str, Event] = {}
+        self._sockets: set = set()
+        self._silent: set = set()
+        self._listener = eventlet.listen((host, port), backlog=512)
+        self._control = eventlet.listen((host, 0))
+        self.port = self._listener.getsockname()[1]
+        self.control_port = self._control.getsockname()[1]
+        self._tasks: list = []
+
+    def start(self) -> None:
+        """Begin to accept connections; returns at once."""
+        for listener, handle in (
+            (self._listener, self._serve_connection),
+            (self._control, self._serve_control),
+        ):
+            self._tasks.append(eventlet.spawn(self._accept, listener, handle))
+
+    def stop(self) -> None:
+        """Close everything, as a killed process does."""
+        for task in self._tasks:
+            task.kill()
+        self._listener.close()
+        self._control.close()
+        for sock in list(self._sockets):
+            sock.close()
+
+    def _accept(self, listener, handle) -> None:
+        """Accept connections."""
+        while True:
+            sock, _ = listener.accept()
+            eventlet.spawn_n(self._run_connection, sock, handle)
+
+    def _run_connection(self, sock, handle) -> None:
+        """Serve a connection and close it."""
+        try:
+            handle(sock)
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+    def _serve_connection(self, sock) -> None:
+        """Serve the requests of one connection, one after the other."""
+        if len(self._sockets) >= self.settings.connection_limit:
+            self.counts["connections_refused"] += 1
+            return
+        self._sockets.add(sock)
+        self.counts["connections"] += 1
+        highest = max(self.counts["connections_highest"], len(self._sockets))
+        self.counts["connections_highest"] = highest
+        try:
+            eventlet.sleep(self.settings.connect_ms / 1000)
+            self._serve_requests(sock)
+        finally:
+            self._sockets.discard(sock)
+            self._silent.discard(sock)
+
+    def _serve_requests(self, sock) -> None:
+        """Read requests and write replies."""
+        reader = RequestReader(sock)
+        while (request := reader.read()) is not None:
+            if sock in self._silent:
+                continue
+            reply = self._answer(request)
+            if sock in self._silent:
+                continue
+            if reply is None:
+                return
+            sock.sendall(reply)
+
+    def _answer(self, request: RawRequest) -> bytes | None:
+        """Return the reply to a request; None closes the connection."""
+        while self.settings.frozen:
+            eventlet.sleep(FROZEN_POLL_S)
+        if request.path == "/v1/read":
+            return self._read(request.json())
+        if request.path == "/v1/write":
+            return self._write(request.json())
+        if request.path == "/v1/cancel":
+            return self._cancel(request.json())
+        if request.path == "/v1/report":
+            return format_reply(200, self._report())
+        return format_reply(404, {"code": "not_found"})
+
+    def _refuse(self, status: int, attempt: str, code: str, **more) -> bytes:
+        """Return a refusal."""
+        self.counts[code] += 1
+        document = {"attempt": attempt, "code": code, "incarnation": self.incarnation}
+        return format_reply(status, {**document, **more})
+
+    def _refuse_work(self, attempt: str) -> bytes | None:
+        """Return a refusal if the target takes no work now."""
+        if self.settings.draining:
+            return self._refuse(503, attempt, "draining")
+        full = self._busy >= self.settings.slots + self.settings.queue_limit
+        if full or self._random.random() < self.settings.shed_share:
+            return self._refuse(503, attempt, "shed")
+        return None
+
+    def _read(self, body: dict) -> bytes | None:
+        """Answer a read."""
+        attempt = body["attempt"]
+        self.counts["reads"] += 1
+        refusal = self._refuse_work(attempt)
+        if refusal is not None:
+            return refusal
+        held = self.settings.held
+        version, epoch = body["version"], body["epoch"]
+        if not any(e == epoch and low <= version <= high for e, low, high in held):
+            return self._refuse(409, attempt, "not_held", held=held)
+        result = self._work(attempt, body["deadline_ms"] / 1000)
+        if result != "done":
+            return self._refuse(504 if result == "expired" else 499, attempt, result)
+        self.counts["answers"] += 1
+        return self._format_read(body)
+
+    def _format_read(self, body: dict) -> bytes | None:
+        """Return the reply to a read that was worked on."""
+        bounds = (body["version"], body["start"], body["end"])
+        records = answer_query(
+            self.settings.service, self._records, body["query"], bounds
+        )
+        document = {
+            "attempt": body["attempt"],
+            "service": self.settings.service,
+            "version": body["version"],
+            "epoch": body["epoch"],
+            "start": body["start"],
+            "end": body["end"],
+            "records": records,
+            "held": self.settings.held,
+            "incarnation": self.incarnation,
+            "load": self._find_load(),
+        }
+        return spoil_reply(self.settings.bad_answer, document)
+
+    def _work(self, attempt: str, time_left: float) -> str:
+        """Spend the time of a request; return how it ended."""
+        cancelled = Event()
+        self._cancelled[attempt] = cancelled
+        self._busy += 1
+        self._note_load()
+        try:
+            with eventlet.Timeout(max(time_left, 0.001), False):
+                return self._work_in_slot(cancelled)
+            return "expired"
+        finally:
+            self._busy -= 1
+            self._cancelled.pop(attempt, None)
+
+    def _work_in_slot(self, cancelled: Event) -> str:
+        """Wait for a slot, then work in it."""
+        with self._slots:
+            if cancelled.ready():
+                return "cancelled"
+            with eventlet.Timeout(self._find_duration(), False):
+                cancelled.wait()
+                return "cancelled"
+        return "done"
+
+    def _find_duration(self) -> float:
+        """Return the time that a request takes in its slot, in seconds."""
+        settings = self.settings
+        factor = settings.slow_factor
+        if time.monotonic() - self._started < settings.cold_s:
+            factor *= COLD_FACTOR
+        spread = 0.5 + self._random.random()
+        return settings.work_ms / 1000 * factor * spread
+
+    def _write(self, body: dict) -> bytes | None:
+        """Run a non-idempotent request and count the execution."""
+        attempt = body["attempt"]
+        self.counts["writes"] += 1
+        refusal = self._refuse_work(attempt)
+        if refusal is not None:
+            return refusal
+        if body["deadline_ms"] <= 0:
+            return self._refuse(504, attempt, "expired")
+        self.executions[body["request_id"]] += 1
+        eventlet.sleep(self._find_duration())
+        document = {
+            "attempt": attempt,
+            "result": {"noted": True, "key": body["key"]},
+            "incarnation": self.incarnation,
+        }
+        return spoil_reply(self.settings.bad_answer, document)
+
+    def _cancel(self, body: dict) -> bytes:
+        """Cancel an attempt that is queued or worked on."""
+        event = self._cancelled.get(body["attempt"])
+        if event is not None and not event.ready():
+            event.send(None)
+        self.counts["cancels"] += 1
+        return format_reply(200, {"cancelled": event is not None})
+
+    def _note_load(self) -> None:
+        """Remember the load for reports that lag."""
+        load = self._busy / self.settings.slots
+        self._loads.append((time.monotonic(), load))
+
+    def _find_load(self) -> float:
+        """Return the load as the target reports it."""
+        if self.settings.report_load is not None:
+            return self.settings.report_load
+        if not self.settings.report_lag_s:
+            return self._busy / self.settings.slots
+        limit = time.monotonic() - self.settings.report_lag_s
+        old = [load for at, load in self._loads if at <= limit]
+        return old[-1] if old else 0.0
+
+    def _report(self) -> dict:
+        """Return the target's report of itself."""
+        self.counts["reports"] += 1
+        settings = self.settings
+        return {
+            "incarnation": self.incarnation,
+            "serving": settings.lies_serving or not settings.draining,
+            "load": self._find_load(),
+            "held": settings.held,
+        }
+
+    def _serve_control(self, sock) -> None:
+        """Serve the control path: read counts, change settings, silence connections."""
+        reader = RequestReader(sock)
+        while (request := reader.read()) is not None:
+            if request.method == "POST":
+                self.change(request.json())
+            sock.sendall(format_reply(200, self.describe()))
+
+    def change(self, changes: dict) -> None:
+        """Change settings; ``silence`` makes the open connections go silent."""
+        if changes.pop("silence", False):
+            self._silent |= self._sockets
+        for name, value in changes.items():
+            if not hasattr(self.settings, name):
+                raise ValueError(f"no setting {name}")
+            setattr(self.settings, name, value)
+
+    def describe(self) -> dict:
+        """Return the counts and the executions by request id."""
+        return {
+            "name": self.settings.name,
+            "counts": dict(self.counts),
+            "executions": dict(self.executions),
+            "open_connections": len(self._sockets),
+        }
+
+
+def spoil_reply(fault: str, document: dict) -> bytes | None:
+    """Return the reply, spoiled by a fault if one is switched on."""
+    if fault == "crossed":
+        document = {**document, "attempt": "f" * 16}
+    elif fault == "foreign_version":
+        document = {**document, "version": document.get("version", 0) + 1}
+    elif fault == "wide_range":
+        document = {**document, "start": 0, "end": 2**32}
+    elif fault == "huge_numbers":
+        document = {**document, "start": -1, "end": 2**60}
+    reply = format_reply(200, document)
+    if fault == "truncated":
+        return reply[:-30]
+    if fault == "garbage":
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\xff{]["
+    if fault == "duplicated":
+        return reply + reply
+    return reply
+
+
+def parse_settings(text: str) -> TargetSettings:
+    """Return the settings in a JSON text."""
+    return TargetSettings(**orjson.loads(text))
