--- a/packages/cassiastair/cassiastair/search/engine.py
+++ b/packages/cassiastair/cassiastair/search/engine.py
@@ -4,9 +4,10 @@
 
 import eventlet
 
-from ..data import Index, Service, Snapshot
+from ..data import Index, Reason, Service, Snapshot
 from ..errors import NoSnapshotError, NotFoundError
 from ..snapshots import choose_snapshot
+from ..tail import Budget
 from ..targets.evidence import Evidence
 from ..targets.failures import TargetFailure
 from ..traces import Span
@@ -16,6 +17,8 @@
 from .scatter import Scatter
 
 MAX_RESTARTS = 4  # times that one query starts again at another snapshot
+LEARN_FROM_RESTART = 2  # restart from which targets are asked what they hold first
+LEARN_BUDGET = 0.05  # such rounds of questions as a share of the requests
 LEARN_SHARE = 0.25  # share of the remaining time for asking what targets hold
 LEARN_LIMIT_S = 1.0
 
@@ -31,6 +34,7 @@
 
     def __init__(self, parts: SearchParts):
         self._parts = parts
+        self._learning = Budget(LEARN_BUDGET)
 
     def run(self, request: SearchRequest) -> SearchAnswer:
         """Answer a request, at its deadline at the latest.
@@ -42,23 +46,42 @@
         NoSnapshotError
             If no target is known to hold an acceptable version.
         """
+        self._learning.earn(1)
         best = None
         subrequests = 0
-        for _ in range(MAX_RESTARTS + 1):
-            scatter = self._scatter(request)
+        for restart in range(MAX_RESTARTS + 1):
+            if restart >= LEARN_FROM_RESTART:
+                self._learn(request, self._plan(request)[1])
+            scatter = self._scatter(request, may_restart=restart < MAX_RESTARTS)
             subrequests += scatter.subrequests
             answer = self._make_answer(scatter, subrequests)
             if best is None or answer.coverage.share >= best.coverage.share:
                 best = answer
-            if not scatter.aborted or self._is_late(request):
+            if self._is_late(request):
+                break
+            if not scatter.aborted and not self._finds_better(request, answer):
                 break
         return replace(best, subrequests=subrequests)
 
+    def _finds_better(self, request: SearchRequest, answer: SearchAnswer) -> bool:
+        """Ask targets what they hold, if that may show a snapshot that covers more.
+
+        Where replicas lag for long no snapshot covers everything, so the question
+        is bounded by a budget.
+        """
+        reasons = {part.reason for part in answer.coverage.missing}
+        if Reason.NOT_HELD not in reasons or not self._learning.spend():
+            return False
+        index, services = self._plan(request)
+        self._learn(request, services)
+        chosen = self._choose(request, index, services)
+        return chosen is not None and chosen != answer.snapshot
+
     def _is_late(self, request: SearchRequest) -> bool:
         """Tell whether the deadline has come."""
         return self._parts.clock.now() >= request.deadline
 
-    def _scatter(self, request: SearchRequest) -> Scatter:
+    def _scatter(self, request: SearchRequest, may_restart: bool) -> Scatter:
         """Choose a snapshot and ask all shards for it."""
         index, services = self._plan(request)
         snapshot = self._choose(request, index, services)
@@ -72,6 +95,8 @@
 
         def should_restart(failed: Snapshot) -> bool:
             """Tell whether another snapshot is a better choice by now."""
+            if not may_restart:
+                return False
             chosen = self._choose(request, *self._plan(request))
             return chosen is not None and chosen != failed
 
@@ -118,10 +143,10 @@
         return [candidate.target.name for candidate in up or candidates]
 
     def _learn(self, request: SearchRequest, services: list[Service]) -> None:
-        """Ask the targets that never said what they hold."""
+        """Ask all targets of the request what they hold."""
         left = request.deadline - self._parts.clock.now()
         limit = min(LEARN_LIMIT_S, LEARN_SHARE * left)
-        unknown = {
+        candidates = {
             candidate.target.name: candidate
             for service in services
             for shard in service.shards
@@ -129,7 +154,7 @@
         }
         threads = [
             eventlet.spawn(learn_from_report, self._parts, evidence, limit)
-            for evidence in unknown.values()
+            for evidence in candidates.values()
         ]
         for thread in threads:
             thread.wait()
