Bind each repair between peers to the states that it describes

Cause: two exchanges of digests can run on one link at the same time, one begun by each end. The root that guarded an exchange was kept on the link, so the answer to the peer's digest overwrote the guard of the own one. A repair could then carry the difference of two states that were not the ones compared, and a VM had a part of a ticket in force.

Ruled out: lost or reordered messages (a closed link drops its staged transfer), and pushes (they carry whole tickets).

Change: the marks name the root they answer and the root they come from; the want repeats the latter; either end drops an exchange whose root is not its state's.

--- a/packages/cassiastair/cassiastair/peers/link.py
+++ b/packages/cassiastair/cassiastair/peers/link.py
@@ -21,15 +21,12 @@
         Entries received so far of a transfer in several messages.
     mismatches : int
         Heartbeats in a row whose digest differed from the own one.
-    exchange_root : bytes
-        Root of the own digest when this VM last described its state on the link.
     """
 
     def __init__(self):
         self.vm: Vm | None = None
         self.staged: list = []
         self.mismatches = 0
-        self.exchange_root = b""
 
     @abstractmethod
     def send(self, message: Message) -> None:
--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -64,12 +64,18 @@
 
     Parameters
     ----------
+    asked_root : bytes
+        Root of the digest that this answers.
+    root : bytes
+        Root of the sender's digest.
     buckets : tuple of int
         The buckets.
     marks : bytes
         Eight bytes for each entry of the sender in these buckets.
     """
 
+    asked_root: bytes
+    root: bytes
     buckets: tuple[int, ...]
     marks: bytes
 
@@ -80,12 +86,15 @@
 
     Parameters
     ----------
+    root : bytes
+        Root of the digest that the marks belong to.
     buckets : tuple of int
         Buckets in which to look.
     marks : bytes
         Eight bytes for each entry wanted.
     """
 
+    root: bytes
     buckets: tuple[int, ...]
     marks: bytes
 
--- a/packages/cassiastair/cassiastair/peers/node.py
+++ b/packages/cassiastair/cassiastair/peers/node.py
@@ -19,7 +19,7 @@
 from ..membership import Freshness, LeavingTargets, Roster
 from ..membership.leaving import LeavingMark
 from ..tickets import Entry, StateMap, describe_state, parse_entry
-from ..tickets.digest import BUCKETS, compare_buckets
+from ..tickets.digest import BUCKETS, compare_buckets, hash_buckets
 from ..tickets.parse import make_entry
 from .link import LinkClosed, PeerLink
 from .messages import (
@@ -217,7 +217,6 @@
         if link.mismatches >= REPAIR_AFTER or not self.state.entries:
             link.mismatches = 0
             self.counts.repairs += 1
-            link.exchange_root = self.state.digest.root
             self._send(link, DigestFrame(self.state.digest.pack()))
 
     def _take_digest(self, link: PeerLink, frame: DigestFrame) -> None:
@@ -229,30 +228,35 @@
         if not buckets:
             return
         marks = pack_marks(e.mark for e in self.state.select(buckets))
-        link.exchange_root = self.state.digest.root
-        self._send(link, Marks(tuple(buckets), marks))
+        asked_root = hash_buckets(frame.buckets)
+        root = self.state.digest.root
+        self._send(link, Marks(asked_root, root, tuple(buckets), marks))
 
     def _take_marks(self, link: PeerLink, frame: Marks) -> None:
         """Send what the peer lacks and ask for what it has beyond this VM."""
-        if link.exchange_root != self.state.digest.root:
+        if not self._is_current(frame.asked_root):
             return
         theirs = unpack_marks(frame.marks)
         own = {entry.mark: entry for entry in self._select(frame.buckets)}
         lacking = [entry for mark, entry in own.items() if mark not in theirs]
         wanted = theirs - own.keys()
         if wanted:
-            self._send(link, Want(frame.buckets, pack_marks(wanted)))
+            self._send(link, Want(frame.root, frame.buckets, pack_marks(wanted)))
         if lacking:
             self._send_entries(link, lacking)
 
     def _take_want(self, link: PeerLink, want: Want) -> None:
         """Send the entries that a peer asked for."""
-        if link.exchange_root != self.state.digest.root:
+        if not self._is_current(want.root):
             return
         marks = unpack_marks(want.marks)
         entries = [e for e in self._select(want.buckets) if e.mark in marks]
         self._send_entries(link, entries)
 
+    def _is_current(self, root: bytes) -> bool:
+        """Tell whether the own state is still the one that a peer speaks of."""
+        return root == self.state.digest.root
+
     def _select(self, buckets: tuple[int, ...]) -> list[Entry]:
         """Return the entries of buckets that a peer named."""
         if not all(type(b) is int and 0 <= b < BUCKETS for b in buckets):
--- /dev/null
+++ b/packages/cassiastair/cassiastair/targets/targets_test.py
@@ -0,0 +1,106 @@
+"""Tests of choice, limits, gates and evidence of targets."""
+
+import random
+
+import eventlet
+from testtools import TestCase
+
+from ..clock import ManualClock
+from ..testing import run_in_virtual_time
+from ..testing.engine_bench import make_target
+from .chooser import EvidenceChooser, ReportChooser
+from .evidence import PROBE_INTERVAL_S, Evidence
+from .gate import Gate
+from .limit import AdaptiveLimit, FixedLimit
+
+
+def make_evidence(clock, number: int = 0) -> Evidence:
+    """Return evidence of a target that was never asked."""
+    return Evidence(make_target("s", number), clock, AdaptiveLimit(4, 100))
+
+
+class TestEvidenceChooser(TestCase):
+    """Choice by own evidence."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.chooser = EvidenceChooser(random.Random(1))
+        self.fast, self.slow = (make_evidence(self.clock, n) for n in range(2))
+        for _ in range(20):
+            self.fast.succeeded(0.005)
+            self.slow.succeeded(0.050)
+
+    def test_slow_target_stands_back_and_is_probed(self):
+        both = [self.fast, self.slow]
+        assert {self.chooser.choose(both) for _ in range(50)} == {self.fast}
+        self.clock.advance(PROBE_INTERVAL_S)
+        assert self.chooser.find_probe(both) is self.slow
+        assert self.chooser.find_probe(both) is None
+
+    def test_last_target_is_never_left_out(self):
+        assert self.chooser.choose([self.slow]) is self.slow
+        for _ in range(5):
+            self.slow.failed()
+        assert self.chooser.choose([self.slow]) is self.slow
+
+    def test_failing_target_stands_back(self):
+        for _ in range(2):
+            self.fast.failed()
+        assert self.chooser.choose([self.fast, self.slow]) is self.slow
+
+    def test_a_lying_report_changes_little(self):
+        self.fast.note_load(1000.0)
+        self.slow.note_load(0.0)
+        both = [self.fast, self.slow]
+        assert self.chooser.choose(both) is self.fast
+        assert ReportChooser(random.Random(1)).choose(both) is self.slow
+
+
+class TestAdaptiveLimit(TestCase):
+    """Limits learned from answers and refusals."""
+
+    def test_grows_when_used_and_falls_when_refused(self):
+        limit = AdaptiveLimit(2, 10)
+        for _ in range(200):
+            limit.succeeded(limit.current)
+        assert limit.current == 10
+        limit.refused()
+        assert limit.current == 7
+        for _ in range(50):
+            limit.refused()
+        assert limit.current == 1
+
+    def test_does_not_grow_while_unused(self):
+        limit = AdaptiveLimit(4, 10)
+        for _ in range(100):
+            limit.succeeded(1)
+        assert limit.current == 4
+
+
+class TestGate(TestCase):
+    """The queue in front of a target."""
+
+    def test_killed_tasks_give_their_places_back(self):
+        def run(clock):
+            gate = Gate(FixedLimit(2))
+            source = random.Random(4)
+
+            def work():
+                gate.enter()
+                try:
+                    assert gate.inside <= 2
+                    eventlet.sleep(source.uniform(0.0, 0.1))
+                finally:
+                    gate.leave()
+
+            tasks = []
+            for _ in range(300):
+                tasks.append(eventlet.spawn(work))
+                eventlet.sleep(source.uniform(0.0, 0.02))
+                if source.random() < 0.3:
+                    source.choice(tasks).kill()
+            eventlet.sleep(60)
+            assert (gate.inside, gate.queued) == (0, 0)
+
+        run_in_virtual_time(run)
--- a/packages/cassiastair/cassiastair/testing/virtual_time.py
+++ b/packages/cassiastair/cassiastair/testing/virtual_time.py
@@ -10,6 +10,8 @@
 
 from ..clock import ManualClock
 
+TIE_BREAK_S = 1e-9  # eventlet orders equal timers by address; no two may be equal
+
 threading = patcher.original("threading")
 
 
@@ -26,6 +28,11 @@
         """Tell that the hub runs everywhere."""
         return True
 
+    def add_timer(self, timer):
+        """Add a timer behind all others of the same time."""
+        self.clock_source.advance(TIE_BREAK_S)
+        return super().add_timer(timer)
+
     def wait(self, seconds: float | None = None) -> None:
         """Move the clock forward."""
         if seconds:
--- a/packages/cassiastair/cassiastair/tickets/digest.py
+++ b/packages/cassiastair/cassiastair/tickets/digest.py
@@ -34,7 +34,7 @@
     def root(self) -> bytes:
         """Eight bytes that are equal for equal maps."""
         if self._root is None:
-            self._root = xxhash.xxh3_64_digest(self.pack())
+            self._root = hash_buckets(self.pack())
         return self._root
 
     def pack(self) -> bytes:
@@ -42,6 +42,11 @@
         return struct.pack(f"<{BUCKETS}Q", *self.buckets)
 
 
+def hash_buckets(packed: bytes) -> bytes:
+    """Return the root of a packed digest."""
+    return xxhash.xxh3_64_digest(packed)
+
+
 def compare_buckets(own: bytes, other: bytes) -> list[int]:
     """Return the buckets in which two packed digests differ.
 
