--- a/packages/cassiastair/cassiastair/errors.py
+++ b/packages/cassiastair/cassiastair/errors.py
@@ -105,6 +105,17 @@
     remedy = "get an id from POST /v1/ids before the first try and repeat with it"
 
 
+class ReusedIdError(RefusedError):
+    """The request id was used before with another request.
+
+    The refused request did not run; the earlier one under the id may have.
+    """
+
+    code = "reused_id"
+    status = 409
+    remedy = "get a new id for each new request"
+
+
 class ExpiredIdError(CassiastairError):
     """The issuer no longer knows the request id."""
 
--- a/packages/cassiastair/cassiastair/once/issuer.py
+++ b/packages/cassiastair/cassiastair/once/issuer.py
@@ -18,8 +18,8 @@
 from ..data.request_id import parse_request_id
 from ..errors import (
     ExpiredIdError,
-    MalformedRequestError,
     OverloadedError,
+    ReusedIdError,
     UnissuedIdError,
 )
 from .record import RequestRecord
@@ -102,7 +102,7 @@
             If this incarnation never issued the id.
         ExpiredIdError
             If the id was issued too long ago.
-        MalformedRequestError
+        ReusedIdError
             If the id was used before with another request.
         """
         slot = self._find(request_id)
@@ -117,7 +117,7 @@
     def _repeat(self, slot: _Slot, body_hash: int) -> RequestRecord:
         """Return the record of the first try, once there is one."""
         if slot.body_hash != body_hash:
-            raise MalformedRequestError("the request id belongs to another request")
+            raise ReusedIdError("the request id belongs to another request")
         if slot.record is None:
             slot.done.wait()
         return slot.record
--- a/packages/cassiastair/cassiastair/once/issuer_test.py
+++ b/packages/cassiastair/cassiastair/once/issuer_test.py
@@ -8,8 +8,8 @@
 from ..data.request_id import parse_request_id
 from ..errors import (
     ExpiredIdError,
-    MalformedRequestError,
     OverloadedError,
+    ReusedIdError,
     UnissuedIdError,
 )
 from ..testing import run_in_virtual_time
@@ -40,9 +40,7 @@
     def test_other_request_under_the_same_id_is_refused(self):
         request_id = self.issuer.issue()
         self.issuer.run(request_id, b"x", lambda: DONE)
-        self.assertRaises(
-            MalformedRequestError, self.issuer.run, request_id, b"y", forbid
-        )
+        self.assertRaises(ReusedIdError, self.issuer.run, request_id, b"y", forbid)
 
     def test_expired_id_never_runs(self):
         request_id = self.issuer.issue()
--- a/packages/cassiastair/cassiastair/search/engine_test.py
+++ b/packages/cassiastair/cassiastair/search/engine_test.py
@@ -156,8 +156,7 @@
 
 def add_anything(merge: AnswerMerge, answer) -> bool:
     """Merge an answer without any check."""
-    merge._parts[answer.service].append(answer.key_range)
-    merge.records.extend(answer.records)
+    merge._parts[answer.service][answer.key_range] = answer.records
     return True
 
 
--- a/packages/cassiastair/cassiastair/snapshots/merge.py
+++ b/packages/cassiastair/cassiastair/snapshots/merge.py
@@ -17,8 +17,9 @@
     def __init__(self, snapshot: Snapshot, services: list[Service]):
         self.snapshot = snapshot
         self._services = {service.name: service for service in services}
-        self._parts: dict[str, list[KeyRange]] = {name: [] for name in self._services}
-        self.records: list = []
+        self._parts: dict[str, dict[KeyRange, tuple]] = {
+            name: {} for name in self._services
+        }
 
     def add(self, answer: ShardAnswer) -> bool:
         """Add an answer; tell whether it fitted.
@@ -31,10 +32,19 @@
             return False
         if any(part.overlaps(answer.key_range) for part in parts):
             return False
-        parts.append(answer.key_range)
-        self.records.extend(answer.records)
+        parts[answer.key_range] = answer.records
         return True
 
+    @property
+    def records(self) -> list:
+        """Records in the order of services and keys, whatever came first."""
+        return [
+            record
+            for parts in self._parts.values()
+            for key_range in sorted(parts)
+            for record in parts[key_range]
+        ]
+
     def count_coverage(self, reasons: dict[tuple[str, KeyRange], Reason]) -> Coverage:
         """Count the covered keys and list the missing shards.
 
@@ -47,7 +57,7 @@
         covered = 0
         missing = []
         for name, service in self._services.items():
-            parts = set(self._parts[name])
+            parts = self._parts[name]
             covered += sum(part.length for part in parts)
             for shard in service.shards:
                 if shard not in parts:
@@ -55,7 +65,3 @@
                     missing.append(Missing(name, shard, reason))
         whole = sum(s.length for v in self._services.values() for s in v.shards)
         return Coverage(covered, whole, tuple(missing))
-
-    def covers(self, service: str, shard: KeyRange) -> bool:
-        """Tell whether a shard was answered."""
-        return shard in self._parts[service]
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -1,6 +1,7 @@
 """A target stand-in: the target protocol, its limits, and its faults."""
 
 import random
+import socket
 import time
 from collections import Counter, deque
 
@@ -67,7 +68,7 @@
         self._listener.close()
         self._control.close()
         for sock in list(self._sockets):
-            sock.close()
+            shut_down(sock)
 
     def _accept(self, listener, handle) -> None:
         """Accept connections."""
@@ -311,6 +312,14 @@
     return reply
 
 
+def shut_down(sock) -> None:
+    """End a connection; the task that serves it closes the socket."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return  # the other end was faster
+
+
 def parse_settings(text: str) -> TargetSettings:
     """Return the settings in a JSON text."""
     return TargetSettings(**orjson.loads(text))
