Add the operators' command

Cause: tickets could be checked only by publishing them, and a daemon's view of a target or a query could be read only as raw JSON.

cassiactl check lists every fault of a ticket file with its place, also against the state in force at a daemon; state, tickets and explain read the daemons' pages. Tables for people, JSON for scripts, exit statuses 0 to 4.

--- /dev/null
+++ b/packages/cassiactl/cassiactl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/packages/cassiactl/cassiactl/main.py
@@ -0,0 +1,107 @@
+"""Command line: thin functions over the library's commands."""
+
+import sys
+
+import fire
+import orjson
+
+from .check import check_ticket
+from .daemon_client import UnreachableError
+from .exit_status import ExitStatus
+from .explain import explain
+from .report import Report
+from .state import show_state
+from .tickets import show_tickets
+
+
+class Commands:
+    """Operators' command of the cassiastair query tier.
+
+    A daemon is named by HOST:PORT of its interface for callers. Each command
+    prints a table, or JSON with --json. Exit status: 0 all is well, 1 problems were
+    found, 2 the command line is wrong, 3 a daemon could not be asked, 4 nothing is
+    known of what was asked for.
+    """
+
+    def check(self, file: str, daemon: str | None = None, json: bool = False) -> None:
+        """Check a ticket file before it is published; all faults with their places.
+
+        Parameters
+        ----------
+        file : str
+            JSON file of the ticket.
+        daemon : str
+            HOST:PORT of a daemon whose state in force the ticket is checked against.
+        json : bool
+            Print JSON.
+        """
+        finish(lambda: check_ticket(str(file), daemon), json)
+
+    def state(self, daemon: str, kind: str | None = None, json: bool = False) -> None:
+        """Show the objects in force at a daemon.
+
+        Parameters
+        ----------
+        daemon : str
+            HOST:PORT of the daemon.
+        kind : str
+            Show only one kind: index, service or target.
+        json : bool
+            Print JSON.
+        """
+        finish(lambda: show_state(daemon, kind), json)
+
+    def tickets(self, *daemons: str, json: bool = False) -> None:
+        """Show which VM has which ticket in force.
+
+        Parameters
+        ----------
+        *daemons : str
+            HOST:PORT of each daemon.
+        json : bool
+            Print JSON.
+        """
+        if not daemons:
+            print("name at least one daemon as HOST:PORT", file=sys.stderr)
+            sys.exit(ExitStatus.USAGE)
+        finish(lambda: show_tickets(list(daemons)), json)
+
+    def explain(self, daemon: str, name: str, json: bool = False) -> None:
+        """Explain a target by its name, or a query by its trace id.
+
+        Parameters
+        ----------
+        daemon : str
+            HOST:PORT of the daemon.
+        name : str
+            Name of a target, or trace id of a query.
+        json : bool
+            Print JSON.
+        """
+        finish(lambda: explain(daemon, str(name)), json)
+
+
+def finish(run, as_json: bool) -> None:
+    """Run a command, print its report and leave with its status."""
+    try:
+        report: Report = run()
+    except UnreachableError as error:
+        print(f"cannot ask the daemon; check HOST:PORT: {error}", file=sys.stderr)
+        sys.exit(ExitStatus.UNREACHABLE)
+    except OSError as error:
+        print(f"cannot read the file: {error}", file=sys.stderr)
+        sys.exit(ExitStatus.USAGE)
+    if as_json:
+        print(orjson.dumps(report.document, option=orjson.OPT_INDENT_2).decode())
+    else:
+        print(report.text)
+    sys.exit(report.status)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands(), name="cassiactl")
+
+
+if __name__ == "__main__":
+    main()
