Keep target connections registered with the event loop

Cause: each wait for a reply registered the socket with the event loop and took it out again (two system calls), after a first read that always found nothing; a look at each idle connection before use cost another call. Also the chooser compared latencies twice for each subrequest.

Change: a connection stays registered; bytes that nobody waits for mark it dropped. Writes still ask the system, since a lost connection would make their outcome unknown; a read that meets one is retried.

--- a/packages/cassiastair/cassiastair/search/scatter.py
+++ b/packages/cassiastair/cassiastair/search/scatter.py
@@ -229,8 +229,8 @@
         return (
             answer.attempt == result.attempt
             and answer.service == task.service
-            and answer.key_range == task.shard
-            and answer.snapshot == self._snapshot
+            and (answer.key_range is task.shard or answer.key_range == task.shard)
+            and (answer.snapshot is self._snapshot or answer.snapshot == self._snapshot)
         )
 
     def _answered(self, task, pending: Pending, answer: ShardAnswer, latency) -> None:
--- a/packages/cassiastair/cassiastair/snapshots/merge.py
+++ b/packages/cassiastair/cassiastair/snapshots/merge.py
@@ -30,10 +30,13 @@
         it covers keys that are covered already.
         """
         parts = self._parts.get(answer.service)
-        if parts is None or answer.snapshot != self.snapshot:
+        if parts is None:
             return False
-        if any(part.overlaps(answer.key_range) for part in parts):
+        if answer.snapshot is not self.snapshot and answer.snapshot != self.snapshot:
             return False
+        for part in parts:
+            if part.overlaps(answer.key_range):
+                return False
         parts[answer.key_range] = answer.records
         return True
 
--- a/packages/cassiastair/cassiastair/targets/chooser.py
+++ b/packages/cassiastair/cassiastair/targets/chooser.py
@@ -84,12 +84,13 @@
 
     def find_probe(self, candidates: Sequence[Evidence]) -> Evidence | None:
         """Return a slow target whose probe is due."""
-        known = [c for c in candidates if c.latency is not None and not c.down]
-        if len(known) < 2:
+        due = [candidate for candidate in candidates if candidate.take_probe()]
+        if not due:
             return None
-        limit = find_slow_limit(known)
-        for candidate in known:
-            if candidate.latency > limit and candidate.take_probe():
+        limit = find_slow_limit([c for c in candidates if not c.down])
+        for candidate in due:
+            known = candidate.latency is not None and not candidate.down
+            if known and candidate.latency > limit:
                 return candidate
         return None
 
--- a/packages/cassiastair/cassiastair/targets/evidence.py
+++ b/packages/cassiastair/cassiastair/targets/evidence.py
@@ -10,7 +10,7 @@
 REPORT_HALF_LIFE_S = 1.0  # age at which a load report counts half
 DOWN_AFTER = 2  # connection failures in a row
 UNKNOWN_LATENCY_S = 0.001  # assumed of a target that never answered, so it is tried
-PROBE_INTERVAL_S = 3.0  # time between probes of a slow target
+PROBE_INTERVAL_S = 3.0  # time between looks whether a target needs a probe
 
 
 class Evidence:
@@ -123,7 +123,7 @@
         return latency * (1 + self.gate.inside + self.gate.queued)
 
     def take_probe(self) -> bool:
-        """Tell whether a probe of a slow target is due; a yes takes it."""
+        """Tell whether the time for a probe, if slow, has come; a yes takes it."""
         now = self._clock.now()
         if now - self.probed_at < PROBE_INTERVAL_S:
             return False
--- a/packages/cassiastair/cassiastair/targets/limit.py
+++ b/packages/cassiastair/cassiastair/targets/limit.py
@@ -6,12 +6,15 @@
 
 
 class ConcurrencyLimit(ABC):
-    """Bound on the requests in progress at one target."""
+    """Bound on the requests in progress at one target.
 
-    @property
-    @abstractmethod
-    def current(self) -> int:
-        """Requests that may be in progress now, at least one."""
+    Attributes
+    ----------
+    current : int
+        Requests that may be in progress now, at least one.
+    """
+
+    current: int
 
     @abstractmethod
     def succeeded(self, in_flight: int) -> None:
@@ -32,12 +35,7 @@
     """
 
     def __init__(self, limit: int):
-        self._limit = limit
-
-    @property
-    def current(self) -> int:
-        """The fixed limit."""
-        return self._limit
+        self.current = limit
 
     def succeeded(self, in_flight: int) -> None:
         """Take no note."""
@@ -61,27 +59,27 @@
 
     def __init__(self, start: int, ceiling: int):
         self._ceiling = max(1, ceiling)
-        self._limit = float(min(max(1, start), self._ceiling))
+        self._set(float(max(1, start)))
 
-    @property
-    def current(self) -> int:
-        """The limit now."""
-        return int(self._limit)
+    def _set(self, limit: float) -> None:
+        """Set the limit, between one and the ceiling."""
+        self._limit = min(max(1.0, limit), float(self._ceiling))
+        self.current = int(self._limit)
 
     def set_ceiling(self, ceiling: int) -> None:
         """Change the highest limit when the number of VMs changes."""
         self._ceiling = max(1, ceiling)
-        self._limit = min(self._limit, float(self._ceiling))
+        self._set(self._limit)
 
     def succeeded(self, in_flight: int) -> None:
         """Grow by one for each round of answers that used the whole limit."""
         if in_flight + 1 >= self.current:
-            self._limit = min(self._ceiling, self._limit + 1.0 / self._limit)
+            self._set(self._limit + 1.0 / self._limit)
 
     def refused(self) -> None:
         """Fall by a factor."""
-        self._limit = max(1.0, self._limit * SHED_FACTOR)
+        self._set(self._limit * SHED_FACTOR)
 
     def restart(self) -> None:
         """Start low again, as for a cold target."""
-        self._limit = 1.0
+        self._set(1.0)
--- a/packages/cassiastaird/cassiastaird/targets/client.py
+++ b/packages/cassiastaird/cassiastaird/targets/client.py
@@ -144,10 +144,10 @@
             raise
         return self._finish(pool, connection, status, data, decode)
 
-    def _take(self, pool: TargetPool) -> TargetConnection:
+    def _take(self, pool: TargetPool, look: bool = False) -> TargetConnection:
         """Take a connection from a pool."""
         try:
-            return pool.take()
+            return pool.take(look)
         except BROKEN as error:
             raise ConnectFailure(f"no connection: {error}") from error
 
@@ -171,7 +171,7 @@
         left = attempt.deadline - self._clock.now()
         connection = None
         with eventlet.Timeout(left, False):
-            connection = self._take(pool)
+            connection = self._take(pool, look=True)
         if connection is None:
             raise ConnectFailure("no connection in time")
         left = attempt.deadline - self._clock.now()
--- a/packages/cassiastaird/cassiastaird/targets/codec.py
+++ b/packages/cassiastaird/cassiastaird/targets/codec.py
@@ -78,16 +78,11 @@
     records = document.get("records")
     if not isinstance(records, list):
         raise BadAnswerFailure("the answer has no list of records")
-    start, end = document.get("start"), document.get("end")
-    if not is_valid_range(start, end):
-        raise BadAnswerFailure("the answer's key range is not valid")
     return ShardAnswer(
         attempt=attempt.attempt,
-        service=str(document.get("service")),
-        snapshot=Snapshot(
-            read_integer(document, "version"), read_integer(document, "epoch")
-        ),
-        key_range=KeyRange(start, end),
+        service=document.get("service"),
+        snapshot=read_snapshot(document, attempt.snapshot),
+        key_range=read_range(document, attempt.key_range),
         records=tuple(records),
         held=decode_held(document.get("held")),
         incarnation=str(document.get("incarnation", "")),
@@ -95,6 +90,25 @@
     )
 
 
+def read_snapshot(document: dict, asked: Snapshot) -> Snapshot:
+    """Return the snapshot of an answer; the same object as the asked one if equal."""
+    version = read_integer(document, "version")
+    epoch = read_integer(document, "epoch")
+    if version == asked.version and epoch == asked.epoch:
+        return asked
+    return Snapshot(version, epoch)
+
+
+def read_range(document: dict, asked: KeyRange) -> KeyRange:
+    """Return the key range of an answer; the same object as the asked one if equal."""
+    start, end = document.get("start"), document.get("end")
+    if start == asked.start and end == asked.end and type(start) is type(end) is int:
+        return asked
+    if not is_valid_range(start, end):
+        raise BadAnswerFailure("the answer's key range is not valid")
+    return KeyRange(start, end)
+
+
 def read_integer(document: dict, field: str) -> int:
     """Return an integer of an answer."""
     value = document.get(field)
--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -4,6 +4,9 @@
 
 from cassiastair.clock import Clock
 from cassiastair.data import Target
+from eventlet import hubs
+from eventlet.hubs.hub import READ
+from greenlet import getcurrent
 from urllib3.connection import HTTPConnection
 
 from .reply_reader import ReplyReader
@@ -17,8 +20,10 @@
     """A connection that is open from the start.
 
     The library opens the connection. Requests are written in one piece and replies
-    are read by a parser in C, because the library's own exchange took most of the
-    processor time of a subrequest; see docs/design/hot-path.md.
+    are read by a parser in C, and the connection stays registered with the event
+    loop between requests: the library's own exchange, and a registration for each
+    wait, took most of the processor time of a subrequest. See
+    docs/design/hot-path.md.
 
     Parameters
     ----------
@@ -33,12 +38,33 @@
         If no connection can be made.
     """
 
+    __slots__ = (
+        "answered_at",
+        "reusable",
+        "_dropped",
+        "_http",
+        "_hub",
+        "_listener",
+        "_raw",
+        "_waiter",
+    )
+
     def __init__(self, target: Target, clock: Clock):
         self._http = HTTPConnection(target.host, target.port, timeout=CONNECT_TIMEOUT_S)
         self._http.connect()
-        self._socket = self._http.sock
         # The task that waits is bounded by its deadline, so no timer for each read.
-        self._socket.settimeout(None)
+        self._http.sock.settimeout(None)
+        self._raw = self._http.sock.fd
+        self._waiter = None
+        self._dropped = False
+        self._hub = hubs.get_hub()
+        self._listener = self._hub.add(
+            READ,
+            self._raw.fileno(),
+            self._on_readable,
+            self._on_closed,
+            self._on_closed,
+        )
         self.answered_at = clock.now()
         self.reusable = True
 
@@ -55,17 +81,70 @@
         OSError
             If the connection breaks or the reply is not HTTP.
         """
-        self._socket.sendall(request)
+        self._send(request)
         reader = ReplyReader()
         while not reader.done:
-            reader.feed(self._socket.recv(RECEIVE_BYTES))
+            reader.feed(self._receive())
         self.reusable = reader.keeps_open
         return reader.status, reader.body
 
-    def is_dropped(self) -> bool:
-        """Tell whether the other end has closed the connection or sent unasked."""
+    def _send(self, request: bytes) -> None:
+        """Send bytes; only what the socket does not take at once has to wait."""
+        try:
+            sent = self._raw.send(request)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(request):
+            self._http.sock.sendall(request[sent:])
+
+    def _receive(self) -> bytes:
+        """Wait for bytes and return them; none at the end of the connection."""
+        while True:
+            if self._listener is None:
+                raise ConnectionResetError("the connection is closed")
+            self._waiter = getcurrent()
+            try:
+                self._hub.switch()
+            finally:
+                self._waiter = None
+            try:
+                return self._raw.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue  # the event loop woke the task for nothing
+
+    def _on_readable(self, fileno: int) -> None:
+        """Wake the waiting task; bytes that nobody waits for end the connection."""
+        if self._waiter is not None:
+            self._waiter.switch()
+        else:
+            self._dropped = True
+            self._stop_listening()
+
+    def _on_closed(self, *error: object) -> None:
+        """Take note that the socket was closed elsewhere in this process."""
+        self._dropped = True
+        self._listener = None
+        if self._waiter is not None:
+            self._waiter.throw(ConnectionResetError("the connection was closed"))
+
+    def _stop_listening(self) -> None:
+        """Take the connection out of the event loop."""
+        if self._listener is not None:
+            listener, self._listener = self._listener, None
+            self._hub.remove(listener)
+
+    def is_dropped(self, look: bool) -> bool:
+        """Tell whether the other end has closed the connection or sent unasked.
+
+        Parameters
+        ----------
+        look : bool
+            Ask the system too, beyond what the event loop has seen so far.
+        """
+        if self._dropped or not look:
+            return self._dropped
         try:
-            self._socket.fd.recv(1, PEEK)
+            self._raw.recv(1, PEEK)
         except BlockingIOError:
             return False
         except OSError:
@@ -74,4 +153,5 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._stop_listening()
         self._http.close()
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -69,9 +69,15 @@
         """Whether a connection can be taken without waiting."""
         return self._gate.inside < self._limit.current
 
-    def take(self) -> TargetConnection:
+    def take(self, look: bool = False) -> TargetConnection:
         """Return a connection, waiting for one within the share.
 
+        Parameters
+        ----------
+        look : bool
+            Ask the system whether an idle connection is still open. It costs a
+            system call; without it a reused connection fails now and then.
+
         Raises
         ------
         OSError
@@ -81,7 +87,7 @@
         try:
             while self._idle:
                 connection = self._idle.pop()
-                if not connection.is_dropped():
+                if not connection.is_dropped(look):
                     return connection
                 connection.close()
             self.opened += 1
