Let work wait at the entry, not at a target that queues

Cause: after a crest the p99 stayed higher than before it. A target's limit grew to this VM's share of its connections while the crest lasted and never fell, because the target sheds only far beyond its slots; two VMs then met in one target's queue, where nothing can be hedged or taken back. Latencies also contained the wait at the own gate, so own queues looked like slow targets.

Change: a limit grows only while the target's average latency is near its best one, falls when the target queues, and goes back to its start when it is not used; the evidence counts from the time at which a request was sent.

Ruled out: admission's bound (it was back at once), connections (none was opened).

--- a/packages/cassiastair/cassiastair/search/scatter.py
+++ b/packages/cassiastair/cassiastair/search/scatter.py
@@ -204,7 +204,7 @@
         gate = pending.evidence.gate
         gate.enter()
         try:
-            pending.sent = True
+            pending.sent = self._parts.clock.now()
             return self._parts.client.ask(pending.evidence.target, attempt)
         finally:
             gate.leave()
@@ -235,7 +235,8 @@
 
     def _answered(self, task, pending: Pending, answer: ShardAnswer, latency) -> None:
         """Take an answer."""
-        self._parts.observer.answered(pending.evidence, answer, latency)
+        waited = pending.sent - pending.started
+        self._parts.observer.answered(pending.evidence, answer, latency - waited)
         self._trace(pending, latency, "ok")
         if task.ended:
             return
@@ -312,8 +313,8 @@
         """Cancel a shard's attempts; their late answers are dropped."""
         now = self._parts.clock.now()
         for attempt, pending in task.pending.items():
-            if pending.sent:
-                pending.evidence.note_abandoned(now - pending.started)
+            if pending.sent is not None:
+                pending.evidence.note_abandoned(now - pending.sent)
                 eventlet.spawn_n(self._cancel, attempt, pending)
             else:
                 kill(pending.thread)
--- a/packages/cassiastair/cassiastair/search/shard_task.py
+++ b/packages/cassiastair/cassiastair/search/shard_task.py
@@ -27,8 +27,8 @@
         ``first``, ``hedge``, ``probe`` or ``retry``.
     thread : greenlet or None
         Task of the attempt.
-    sent : bool
-        Whether the attempt has left the queue in front of the target.
+    sent : float or None
+        Monotonic time at which the attempt left the queue in front of the target.
     ended : Event or None
         Sent at the attempt's end; made when somebody waits for it.
     """
@@ -38,7 +38,7 @@
     trace: TraceContext
     kind: str
     thread: greenlet | None = None
-    sent: bool = False
+    sent: float | None = None
     ended: Event | None = None
 
 
--- a/packages/cassiastair/cassiastair/targets/evidence.py
+++ b/packages/cassiastair/cassiastair/targets/evidence.py
@@ -6,6 +6,7 @@
 from .health import Health
 from .limit import AdaptiveLimit
 
+BEST_DRIFT = 1.002  # growth of the best latency at each answer, to follow changes
 SMOOTHING = 0.2  # weight of a new latency in the average
 REPORT_HALF_LIFE_S = 1.0  # age at which a load report counts half
 DOWN_AFTER = 2  # connection failures in a row
@@ -33,6 +34,7 @@
         "name",
         "gate",
         "latency",
+        "best",
         "failures",
         "incarnation",
         "answered_at",
@@ -50,6 +52,7 @@
         self.name = target.name
         self.gate = Gate(limit)
         self.latency: float | None = None
+        self.best = float("inf")
         self.failures = 0
         self.incarnation = ""
         self.answered_at = 0.0
@@ -74,8 +77,9 @@
         if self.failures:
             self.recovered()
         self.answered_at = self._clock.now()
-        self.gate.limit.succeeded(self.gate.inside)
         self.note_latency(latency)
+        self.best = min(self.best * BEST_DRIFT, self.latency)
+        self.gate.limit.succeeded(self.gate.inside, self.latency / self.best)
 
     def recovered(self) -> None:
         """Take note that the target is reachable; it starts with little load."""
--- a/packages/cassiastair/cassiastair/targets/limit.py
+++ b/packages/cassiastair/cassiastair/targets/limit.py
@@ -3,6 +3,9 @@
 from abc import ABC, abstractmethod
 
 SHED_FACTOR = 0.7
+UNCROWDED = 1.5  # average over best latency below which a target has room
+CROWDED = 2.5  # the same above which it queues
+STEP_DOWN = 0.1
 
 
 class ConcurrencyLimit(ABC):
@@ -17,8 +20,16 @@
     current: int
 
     @abstractmethod
-    def succeeded(self, in_flight: int) -> None:
-        """Take note of an answer that came while so many were in progress."""
+    def succeeded(self, in_flight: int, crowding: float) -> None:
+        """Take note of an answer.
+
+        Parameters
+        ----------
+        in_flight : int
+            Requests that were in progress from this VM.
+        crowding : float
+            Average latency of the target over its best one.
+        """
 
     @abstractmethod
     def refused(self) -> None:
@@ -37,7 +48,7 @@
     def __init__(self, limit: int):
         self.current = limit
 
-    def succeeded(self, in_flight: int) -> None:
+    def succeeded(self, in_flight: int, crowding: float) -> None:
         """Take no note."""
 
     def refused(self) -> None:
@@ -45,9 +56,11 @@
 
 
 class AdaptiveLimit(ConcurrencyLimit):
-    """A limit that grows with answers while it is in use and falls with refusals.
+    """A limit that follows the target's latency and refusals.
 
-    A cold target starts low, which ramps its load up.
+    It grows while it is in use and the target is as fast as ever, and falls when
+    the target queues, so that work waits here, where it can be hedged and taken
+    back, and not at the target. Unused, it goes back to its start.
 
     Parameters
     ----------
@@ -58,8 +71,9 @@
     """
 
     def __init__(self, start: int, ceiling: int):
+        self._start = float(max(1, start))
         self._ceiling = max(1, ceiling)
-        self._set(float(max(1, start)))
+        self._set(self._start)
 
     def _set(self, limit: float) -> None:
         """Set the limit, between one and the ceiling."""
@@ -71,10 +85,15 @@
         self._ceiling = max(1, ceiling)
         self._set(self._limit)
 
-    def succeeded(self, in_flight: int) -> None:
+    def succeeded(self, in_flight: int, crowding: float) -> None:
         """Grow by one for each round of answers that used the whole limit."""
-        if in_flight + 1 >= self.current:
-            self._set(self._limit + 1.0 / self._limit)
+        if crowding > CROWDED:
+            self._set(self._limit - STEP_DOWN)
+        elif in_flight + 1 >= self.current:
+            if crowding < UNCROWDED:
+                self._set(self._limit + 1.0 / self._limit)
+        elif self._limit > self._start:
+            self._set(max(self._start, self._limit - STEP_DOWN))
 
     def refused(self) -> None:
         """Fall by a factor."""
--- a/packages/cassiastair/cassiastair/targets/targets_test.py
+++ b/packages/cassiastair/cassiastair/targets/targets_test.py
@@ -64,7 +64,7 @@
     def test_grows_when_used_and_falls_when_refused(self):
         limit = AdaptiveLimit(2, 10)
         for _ in range(200):
-            limit.succeeded(limit.current)
+            limit.succeeded(limit.current, 1.0)
         assert limit.current == 10
         limit.refused()
         assert limit.current == 7
@@ -72,10 +72,21 @@
             limit.refused()
         assert limit.current == 1
 
-    def test_does_not_grow_while_unused(self):
+    def test_falls_when_the_target_queues(self):
+        limit = AdaptiveLimit(8, 10)
+        for _ in range(200):
+            limit.succeeded(limit.current, 4.0)
+        assert limit.current == 1
+
+    def test_goes_back_to_its_start_when_unused(self):
         limit = AdaptiveLimit(4, 10)
         for _ in range(100):
-            limit.succeeded(1)
+            limit.succeeded(1, 1.0)
+        assert limit.current == 4
+        for _ in range(200):
+            limit.succeeded(limit.current, 1.0)
+        for _ in range(100):
+            limit.succeeded(1, 1.0)
         assert limit.current == 4
 
 
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -30,7 +30,7 @@
         """Connections that may be open now."""
         return self._fleet.connection_share(self._target)
 
-    def succeeded(self, in_flight: int) -> None:
+    def succeeded(self, in_flight: int, crowding: float) -> None:
         """Take no note: the share does not follow the load."""
 
     def refused(self) -> None:
