Take work only once the targets' versions are known

Cause: a VM that had just been replaced was ready as soon as its tickets were in force. Seen once in the rolling replacement while the machine was busy.

Ruled out: the deadline (8 s were left) and lost targets (they answered).

Change: a VM is ready when each target in force was asked once; a search that knows no version repeats the question for a share of its time.

--- a/packages/cassiastair/cassiastair/search/engine.py
+++ b/packages/cassiastair/cassiastair/search/engine.py
@@ -12,7 +12,7 @@
 from ..traces import Span
 from .answer import SearchAnswer
 from .parts import SearchParts
-from .plan import Planner
+from .plan import PinnedPlan, Planner
 from .request import SearchRequest
 from .scatter import Scatter
 
@@ -21,6 +21,7 @@
 LEARN_BUDGET = 0.05  # such rounds of questions as a share of the requests
 LEARN_SHARE = 0.25  # share of the remaining time for asking what targets hold
 LEARN_LIMIT_S = 1.0
+LEARN_PAUSE_S = 0.02
 
 
 class SearchEngine:
@@ -83,10 +84,7 @@
 
     def _scatter(self, request: SearchRequest, may_restart: bool) -> Scatter:
         """Choose a snapshot and ask all shards for it."""
-        pinned = self._planner.pin(request)
-        if pinned is None:
-            self._learn(request)
-            pinned = self._planner.pin(request)
+        pinned = self._pin(request)
         if pinned is None:
             floor = request.lowest_version
             name = request.index
@@ -106,6 +104,22 @@
         self._trace(request, pinned.snapshot, started)
         return scatter
 
+    def _pin(self, request: SearchRequest) -> PinnedPlan | None:
+        """Pin a plan; ask targets what they hold for as long as none is known.
+
+        A question may fail because other searches hold all connections at that
+        moment, so it is repeated for a share of the time that is left.
+        """
+        now = self._parts.clock.now()
+        until = now + LEARN_SHARE * (request.deadline - now)
+        pinned = self._planner.pin(request)
+        while pinned is None and self._parts.clock.now() < until:
+            self._learn(request)
+            pinned = self._planner.pin(request)
+            if pinned is None:
+                eventlet.sleep(LEARN_PAUSE_S)
+        return pinned
+
     def _learn(self, request: SearchRequest) -> None:
         """Ask all targets of the request what they hold."""
         left = request.deadline - self._parts.clock.now()
--- a/packages/cassiastair/cassiastair/search/engine_test.py
+++ b/packages/cassiastair/cassiastair/search/engine_test.py
@@ -12,6 +12,7 @@
 from ..errors import NoSnapshotError, NotFoundError
 from ..snapshots import AnswerMerge
 from ..tail import NoHedge
+from ..targets import TargetFailure
 from ..testing import find_expected, run_in_virtual_time
 from ..testing.engine_bench import EngineBench, cut_shards, make_target
 from .scatter import Scatter
@@ -146,6 +147,25 @@
 
         run_in_virtual_time(run)
 
+    def test_first_search_waits_for_what_targets_hold(self):
+        """Found when a VM was replaced under load: its first searches failed."""
+
+        def run(clock):
+            bench = EngineBench(clock)
+            bench.set_up(services=1, replicas=2)
+            answers = bench.client.report
+            failures = iter(range(4))
+
+            def report(target, timeout):
+                if next(failures, None) is not None:
+                    raise TargetFailure("all connections are in use")
+                return answers(target, timeout)
+
+            with mock.patch.object(bench.client, "report", report):
+                assert bench.search().coverage.share == 1.0
+
+        run_in_virtual_time(run)
+
     def test_unknown_index(self):
         def run(clock):
             bench = EngineBench(clock)
--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -246,7 +246,9 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send work."""
-        return bool(self.state.catalogue.services) and not self.drain.draining
+        if self.drain.draining or not self.state.catalogue.services:
+            return False
+        return not self.state.catalogue.targets or self.target_keeper.is_warm()
 
     def start(self) -> None:
         """Start every task; returns at once."""
--- a/packages/cassiastaird/cassiastaird/target_keeper.py
+++ b/packages/cassiastaird/cassiastaird/target_keeper.py
@@ -52,6 +52,16 @@
         self._clock = clock
         self._source = source
         self._due: dict[str, float] = {}
+        self._checked: set[str] = set()
+        self._warm = False
+
+    def is_warm(self) -> bool:
+        """Tell whether every target in force was asked once; stays true then."""
+        targets = self._parts.catalogue.targets
+        if not self._warm and targets and self._checked.issuperset(targets):
+            self._warm = True
+            self._checked.clear()
+        return self._warm
 
     def run(self) -> None:
         """Look after the targets for as long as the process runs."""
@@ -72,6 +82,12 @@
             eventlet.spawn_n(self._check, evidence)
 
     def _check(self, evidence: Evidence) -> None:
+        """Look after a target and take note that it was done."""
+        self._ask(evidence)
+        if not self._warm:
+            self._checked.add(evidence.name)
+
+    def _ask(self, evidence: Evidence) -> None:
         """Ask a target for its report if its own answers are old, and keep it warm."""
         quiet = self._clock.now() - evidence.answered_at >= IDLE_REPORT_S
         leaving = self._leaving.is_leaving(evidence.target.name)
--- /dev/null
+++ b/standins/slopes/daemon.py
@@ -0,0 +1,133 @@
+"""Slopes of whole daemons: idle control, platform calls, queries by shards."""
+
+import tempfile
+import time
+from pathlib import Path
+
+import eventlet
+
+from ..layouts import COUNTER_DESK, describe_target, plan_targets, shrink
+from ..session import Session
+from .fit import Slope, fit_line
+
+FLEETS = (2, 6, 12)
+SHARD_COUNTS = (20, 100, 260)
+IDLE_S = 10.0
+SEARCHES = 40
+
+
+def measure_idle(count: int) -> dict:
+    """Return what an idle daemon of a fleet uses for control in a second."""
+    with tempfile.TemporaryDirectory() as folder, Session(Path(folder)) as session:
+        for number in range(count):
+            session.start_daemon(f"vm-{number}", f"dc{number % 3}", log_level="warning")
+        session.publish([{"object": "index/none", "state": None}])
+        session.wait_until(lambda: all_have_objects(session, count))
+        eventlet.sleep(2.0)
+        before = read_usage(session)
+        time.sleep(IDLE_S)
+        after = read_usage(session)
+    return {key: (after[key] - before[key]) / IDLE_S / count for key in before}
+
+
+def all_have_objects(session: Session, count: int) -> bool:
+    """Tell whether all daemons have the ticket and the links that they want."""
+    statuses = [caller.get("/status").body for caller in session.callers.values()]
+    return all(
+        s["tickets"]["objects"] and len(s["peers"]["links"]) >= min(count - 1, 3)
+        for s in statuses
+    )
+
+
+def read_usage(session: Session) -> dict:
+    """Return the sums of processor time, peer bytes and platform calls."""
+    total = {"cpu_s": 0.0, "bytes_sent": 0.0, "calls": 0.0}
+    for caller in session.callers.values():
+        status = caller.get("/status").body
+        total["cpu_s"] += status["process"]["cpu_s"]
+        total["bytes_sent"] += status["peers"]["bytes_sent"]
+        total["calls"] += status["platform"]["calls"]
+    return total
+
+
+def measure_queries() -> list[Slope]:
+    """Return processor time and connections of a daemon by shards of a query."""
+    times, connections, memory = [], [], []
+    for shards in SHARD_COUNTS:
+        cpu_ms, open_connections, peak = measure_query(shards)
+        times.append((shards, cpu_ms))
+        connections.append((shards, open_connections))
+        memory.append((shards, peak))
+    return [
+        fit_line("time of a query, ms by subrequests", times),
+        fit_line("connections of a daemon, by targets", connections),
+        fit_line("peak memory of a daemon, MB by targets", memory),
+    ]
+
+
+def measure_query(shards: int) -> tuple[float, float, float]:
+    """Return processor time of a query in ms, open connections, peak memory in MB."""
+    layout = shrink(COUNTER_DESK, 20)
+    with tempfile.TemporaryDirectory() as folder, Session(Path(folder)) as session:
+        session.start_targets([layout], work_ms=0.0, connect_ms=0.0)
+        session.start_daemon("vm-1", "dc1", vm_count=1, log_level="warning")
+        session.publish_layouts([layout], "dc1", shards=shards // 20)
+        session.wait_ready(objects=61)
+        caller = session.callers["vm-1"]
+        body = {"index": layout.index, "query": {"tag": 3}, "deadline_ms": 20_000}
+        for _ in range(20):
+            caller.post("/v1/search", body)
+        before = caller.get("/status").body["process"]["cpu_s"]
+        for _ in range(SEARCHES):
+            reply = caller.post("/v1/search", body)
+            assert reply.body["coverage"]["share"] == 1.0, reply
+        status = caller.get("/status").body
+        used = status["process"]["cpu_s"] - before
+        open_connections = status["targets"]["connections"]
+        return (
+            used / SEARCHES * 1000,
+            open_connections,
+            status["process"]["peak_rss_mb"],
+        )
+
+
+def measure_change_calls() -> list[Slope]:
+    """Return the platform's calls by the rate of changes, for six daemons."""
+    points = []
+    with tempfile.TemporaryDirectory() as folder, Session(Path(folder)) as session:
+        for number in range(6):
+            session.start_daemon(f"vm-{number}", f"dc{number % 3}", log_level="warning")
+        session.publish([{"object": "index/none", "state": None}])
+        session.wait_until(lambda: all_have_objects(session, 6))
+        for rate in (0, 1, 4):
+            before = read_usage(session)["calls"]
+            publish_for(session, rate, IDLE_S)
+            points.append((rate, (read_usage(session)["calls"] - before) / IDLE_S))
+    return [fit_line("platform calls a second of 6 VMs, by changes a second", points)]
+
+
+def publish_for(session: Session, rate: int, seconds: float) -> None:
+    """Publish tickets at a rate."""
+    end = time.monotonic() + seconds
+    plan = plan_targets(COUNTER_DESK)[0]
+    while time.monotonic() < end:
+        if rate:
+            session.publish([describe_target(plan, 1, "dc1")])
+        time.sleep(1.0 / rate if rate else seconds)
+
+
+def measure_all() -> list[Slope]:
+    """Measure every slope of whole daemons."""
+    idle = [(count, measure_idle(count)) for count in FLEETS]
+
+    def fit(name: str, key: str, factor: float = 1.0) -> Slope:
+        """Fit one use against the size of the fleet."""
+        return fit_line(name, [(n, use[key] * factor) for n, use in idle])
+
+    return [
+        fit("idle daemon, share of a core by VMs", "cpu_s"),
+        fit("idle daemon, peer bytes sent a second by VMs", "bytes_sent"),
+        fit("idle daemon, platform calls a second by VMs", "calls"),
+        *measure_change_calls(),
+        *measure_queries(),
+    ]
--- /dev/null
+++ b/standins/slopes/memory.py
@@ -0,0 +1,23 @@
+"""Prints the resident memory of a process that holds a state of some size."""
+
+import gc
+import json
+import sys
+from pathlib import Path
+
+PAGE_BYTES = 4096
+
+
+def main(what: str, count: str) -> None:
+    """Load a state and print the resident memory."""
+    from .state import LOADERS
+
+    kept = LOADERS[what](int(count))
+    gc.collect()
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    print(json.dumps({"bytes": pages * PAGE_BYTES}))
+    del kept
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/standins/slopes/state.py
@@ -0,0 +1,194 @@
+"""Slopes of the state: memory, merging, digests, loading, choosing links."""
+
+import gc
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+
+from cassiastair.clock import ManualClock
+from cassiastair.data import Vm
+from cassiastair.membership import LeavingTargets, Roster, choose_links
+from cassiastair.membership.rendezvous import rank_by_rendezvous
+from cassiastair.peers import Entries
+from cassiastair.peers.node import describe_entry
+from cassiastair.targets import TargetFleet
+from cassiastair.tickets import StateMap, parse_entry
+from cassiastaird.peers.codec import decode, encode
+
+from .fit import Slope, fit_line
+
+SIZES = (10_000, 25_000, 50_000)
+VM_SIZES = (500, 1500, 5200)
+PART = 500
+REPEATS = 20
+
+
+def make_plain_target(number: int) -> list:
+    """Return a target's entry as it travels between peers."""
+    state = {
+        "service": f"service-{number // 14:05d}",
+        "data_centre": f"dc{number % 17}",
+        "host": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}",
+        "port": 8080,
+        "ranges": [[0, 2**32]],
+        "slots": 2,
+        "connection_limit": 25,
+        "leaving": False,
+    }
+    return ["target", f"target-{number:06d}", 1, state]
+
+
+def make_vm(number: int) -> Vm:
+    """Return a VM of a fleet in 17 data centres."""
+    name = f"vm-{number:05d}"
+    return Vm(name, f"{number:024x}", f"dc{number % 17}", "10.0.0.1", 80, 81)
+
+
+def load_targets(count: int) -> StateMap:
+    """Return a state map with some targets."""
+    state = StateMap()
+    state.merge(parse_entry(make_plain_target(n)) for n in range(count))
+    return state
+
+
+def load_evidence(count: int) -> object:
+    """Return a state map and the evidence of all its targets."""
+    state = load_targets(count)
+    fleet = TargetFleet(state.catalogue, LeavingTargets(), ManualClock(), 7)
+    for target in state.catalogue.targets.values():
+        fleet.get(target)
+    return state, fleet
+
+
+def load_roster(count: int) -> object:
+    """Return a roster of some VMs."""
+    roster = Roster(make_vm(10**6), ManualClock())
+    roster.tell(make_vm(n) for n in range(count))
+    return roster
+
+
+LOADERS: dict[str, Callable[[int], object]] = {
+    "targets": load_targets,
+    "evidence": load_evidence,
+    "roster": load_roster,
+}
+
+
+def measure_memory(what: str, count: int) -> float:
+    """Return the resident memory in bytes of a fresh process that holds a state."""
+    command = [sys.executable, "-m", "standins.slopes.memory", what, str(count)]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    return json.loads(done.stdout)["bytes"]
+
+
+def measure_time(work: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the lowest processor time of a piece of work, in microseconds."""
+    best = float("inf")
+    for _ in range(5):
+        started = time.process_time()
+        for _ in range(repeats):
+            work()
+        best = min(best, (time.process_time() - started) / repeats)
+    return best * 1e6
+
+
+def measure_apply(count: int) -> float:
+    """Return the time of one ticket with one target, by state size, in us."""
+    state = load_targets(count)
+    gc.collect()
+    numbers = iter(range(2, 10**9))
+
+    def apply() -> None:
+        """Read and merge a new state of one target."""
+        plain = make_plain_target(count // 2)
+        plain[2] = next(numbers)
+        state.merge([parse_entry(plain)])
+
+    return measure_time(apply, 200)
+
+
+def measure_root(count: int) -> float:
+    """Return the time of a heartbeat's digest after one change, in us."""
+    state = load_targets(count)
+    entry = next(iter(state.entries.values()))
+
+    def compute() -> bytes:
+        """Change one mark and compute the root."""
+        state.digest.toggle(entry.key, 1)
+        return state.digest.root
+
+    return measure_time(compute, 200)
+
+
+def measure_load(count: int) -> tuple[float, float]:
+    """Return seconds of processor time and bytes to take a whole state from a peer."""
+    state = load_targets(count)
+    entries = list(state.entries.values())
+    frames = []
+    for start in range(0, count, PART):
+        plain = [describe_entry(e) for e in entries[start : start + PART]]
+        frames.append(encode(Entries(plain, start + PART < count, False)))
+    new = StateMap()
+    started = time.process_time()
+    staged = [parse_entry(p) for frame in frames for p in decode(frame).entries]
+    new.merge(staged)
+    seconds = time.process_time() - started
+    assert new.digest.root == state.digest.root
+    return seconds, float(sum(map(len, frames)))
+
+
+def measure_links(count: int) -> float:
+    """Return the time to choose links among some VMs, in us."""
+    vms = [make_vm(n) for n in range(count)]
+    return measure_time(lambda: choose_links(vms[0], vms, 6, 2), 3)
+
+
+def measure_rank(count: int) -> float:
+    """Return the time to rank a data centre's readers, by fleet size, in us."""
+    names = [make_vm(n).name for n in range(0, count, 17)]
+    return measure_time(lambda: rank_by_rendezvous("reader", names), 20)
+
+
+def measure_all() -> list[Slope]:
+    """Measure every slope of the state."""
+    loads = [(n, measure_load(n)) for n in SIZES]
+    return [
+        fit_line(
+            "memory, bytes per target in force",
+            [(n, measure_memory("targets", n)) for n in SIZES],
+        ),
+        fit_line(
+            "memory, bytes per target in force with evidence",
+            [(n, measure_memory("evidence", n)) for n in SIZES],
+        ),
+        fit_line(
+            "memory, bytes per known VM",
+            [(n, measure_memory("roster", n)) for n in VM_SIZES],
+        ),
+        fit_line(
+            "time of a ticket of one target, us by targets in force",
+            [(n, measure_apply(n)) for n in SIZES],
+        ),
+        fit_line(
+            "time of a digest root after a change, us by targets in force",
+            [(n, measure_root(n)) for n in SIZES],
+        ),
+        fit_line(
+            "time to load the state from a peer, s per target",
+            [(n, seconds) for n, (seconds, _) in loads],
+        ),
+        fit_line(
+            "bytes to load the state from a peer, per target",
+            [(n, size) for n, (_, size) in loads],
+        ),
+        fit_line(
+            "time to choose links, us per known VM",
+            [(n, measure_links(n)) for n in VM_SIZES],
+        ),
+        fit_line(
+            "time to rank readers, us per VM of the fleet",
+            [(n, measure_rank(n)) for n in VM_SIZES],
+        ),
+    ]
