--- a/packages/cassiastair/cassiastair/membership/membership_test.py
+++ b/packages/cassiastair/cassiastair/membership/membership_test.py
@@ -68,6 +68,15 @@
         self.roster.tell([make_vm("vm1", "newer")])
         assert self.roster.find("vm1").incarnation == "newer"
 
+    def test_generation_tells_of_changes_only(self):
+        self.roster.tell([make_vm("vm1")])
+        generation = self.roster.generation
+        self.roster.tell([make_vm("vm1")])
+        self.roster.contact(make_vm("vm1"))
+        assert self.roster.generation == generation
+        self.roster.gone("vm1")
+        assert self.roster.generation == generation + 1
+
     def test_old_vms_are_forgotten(self):
         self.roster.tell([make_vm("vm1")])
         self.clock.advance(601)
--- a/packages/cassiastair/cassiastair/membership/roster.py
+++ b/packages/cassiastair/cassiastair/membership/roster.py
@@ -12,6 +12,11 @@
 class Roster:
     """Known VMs and when each was last heard of.
 
+    Attributes
+    ----------
+    generation : int
+        Rises whenever a VM is added, replaced or dropped.
+
     Parameters
     ----------
     own : Vm
@@ -26,6 +31,7 @@
         self._vms: dict[str, Vm] = {}
         self._told_at: dict[str, float] = {}
         self._contact_at: dict[str, float] = {}
+        self.generation = 0
 
     def tell(self, vms: Iterable[Vm]) -> None:
         """Take second-hand word of VMs; it never replaces a fresh contact."""
@@ -34,21 +40,28 @@
             if vm.name == self.own.name:
                 continue
             if not self.is_live(vm.name):
-                self._vms[vm.name] = vm
+                self._put(vm)
             self._told_at[vm.name] = now
 
     def contact(self, vm: Vm) -> None:
         """Take word from a VM itself."""
         if vm.name == self.own.name:
             return
-        self._vms[vm.name] = vm
+        self._put(vm)
         now = self._clock.now()
         self._contact_at[vm.name] = now
         self._told_at[vm.name] = now
 
+    def _put(self, vm: Vm) -> None:
+        """Keep a VM's newest state."""
+        if self._vms.get(vm.name) != vm:
+            self._vms[vm.name] = vm
+            self.generation += 1
+
     def gone(self, name: str) -> None:
         """Drop a VM that said it is stopping."""
-        self._vms.pop(name, None)
+        if self._vms.pop(name, None) is not None:
+            self.generation += 1
         self._told_at.pop(name, None)
         self._contact_at.pop(name, None)
 
--- a/packages/cassiastair/cassiastair/pauses.py
+++ b/packages/cassiastair/cassiastair/pauses.py
@@ -3,13 +3,16 @@
 from .clock import Clock
 
 PAUSE_LIMIT_S = 1.5  # gap between ticks that counts as a pause
+PATIENCE_S = 3.0  # time after which a VM that nobody speaks with trusts itself again
 
 
 class PauseDetector:
     """Notices that the process did not run for a while.
 
     `check` is called by a regular tick and again just before each non-idempotent
-    dispatch, because on waking the dispatch may run before the tick.
+    dispatch, because on waking the dispatch may run before the tick. A VM that is cut
+    off from everybody has nobody to confirm its beliefs; after some seconds it goes on
+    with what it knows, as any VM does that is cut off.
 
     Parameters
     ----------
@@ -23,23 +26,25 @@
         self._clock = clock
         self._limit = limit
         self._last = clock.now()
-        self._stale = False
+        self._stale_since: float | None = None
         self.pauses = 0
 
     def check(self) -> bool:
         """Look at the clock; tell whether beliefs are stale."""
         now = self._clock.now()
         if now - self._last > self._limit:
-            self._stale = True
+            self._stale_since = now
             self.pauses += 1
+        elif self._stale_since is not None and now - self._stale_since > PATIENCE_S:
+            self._stale_since = None
         self._last = now
-        return self._stale
+        return self.stale
 
     @property
     def stale(self) -> bool:
         """Whether a pause was seen and nothing has confirmed the beliefs since."""
-        return self._stale
+        return self._stale_since is not None
 
     def confirm(self) -> None:
         """Take word, from a peer or the platform, that came after the pause."""
-        self._stale = False
+        self._stale_since = None
--- a/packages/cassiastair/cassiastair/pauses_test.py
+++ b/packages/cassiastair/cassiastair/pauses_test.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from .clock import ManualClock
-from .pauses import PAUSE_LIMIT_S, PauseDetector
+from .pauses import PATIENCE_S, PAUSE_LIMIT_S, PauseDetector
 
 
 class TestPauseDetector(TestCase):
@@ -22,3 +22,14 @@
         pauses.confirm()
         assert not pauses.check()
         assert pauses.pauses == 1
+
+    def test_a_vm_that_is_alone_goes_on(self):
+        """Before, one that woke while cut off refused writes for good."""
+        clock = ManualClock()
+        pauses = PauseDetector(clock)
+        clock.advance(PAUSE_LIMIT_S + 1)
+        assert pauses.check()
+        for _ in range(int(PATIENCE_S / 0.25) + 1):
+            clock.advance(0.25)
+            pauses.check()
+        assert not pauses.stale
--- a/packages/cassiastaird/cassiastaird/api/write_handlers.py
+++ b/packages/cassiastaird/cassiastaird/api/write_handlers.py
@@ -9,7 +9,7 @@
 from cassiastair.once import RequestIssuer
 from cassiastair.once.issuer import require_issued_id
 from cassiastair.once.writer import Writer, WriteRequest
-from cassiastair.peers import Call, PeerNode
+from cassiastair.peers import Call, PeerLink
 from cassiastair.tickets import Catalogue
 from cassiastair.traces import TraceContext, parse_traceparent
 
@@ -19,6 +19,7 @@
 from .query_handlers import find_service
 from .reply import ApiReply, reply_json
 
+REACH_LIMIT_S = 1.0  # time for opening a link to the issuer
 FORWARD_MARGIN_S = 0.05  # time that a forwarder waits beyond the issuer's deadline
 
 
@@ -33,8 +34,8 @@
         Sends a request to a target.
     catalogue : Catalogue
         Objects in force.
-    node : PeerNode
-        Links to peers.
+    reach : callable
+        Returns a link to a VM, within some seconds, or None.
     clock : Clock
         Source of time.
     source : random.Random
@@ -50,7 +51,7 @@
         issuer: RequestIssuer,
         writer: Writer,
         catalogue: Catalogue,
-        node: PeerNode,
+        reach: Callable[[str, float], PeerLink | None],
         clock: Clock,
         source: random.Random,
         metrics: Metrics,
@@ -59,7 +60,7 @@
         self._issuer = issuer
         self._writer = writer
         self._catalogue = catalogue
-        self._node = node
+        self._reach = reach
         self._clock = clock
         self._source = source
         self._metrics = metrics
@@ -125,7 +126,8 @@
         self, request_id: RequestId, raw: bytes, deadline: float, trace: TraceContext
     ) -> tuple[int, dict]:
         """Forward a request to the VM that issued its id."""
-        link = self._node.links.get(request_id.vm)
+        left = deadline - self._clock.now()
+        link = self._reach(request_id.vm, min(left, REACH_LIMIT_S))
         if link is None or link.vm.incarnation != request_id.incarnation:
             message = f"VM {request_id.vm} that issued the id is not linked"
             raise IssuerGoneError(message)
--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -192,7 +192,7 @@
             issuer,
             self.writer,
             catalogue,
-            self.node,
+            lambda name, limit: self.keeper.reach(name, limit),
             self._clock,
             self._source,
             self.metrics,
@@ -203,6 +203,14 @@
             self.status, self.state, self.traces, self.metrics, self.is_ready
         )
         self.forwarder = writes.forwarder
+        self.keeper = LinkKeeper(
+            self.node,
+            self.forwarder,
+            parse_peers(self._settings.peers),
+            self._settings.degree,
+            self._settings.cross_degree,
+            self._clock,
+        )
         self.api = Api(
             queries,
             writes,
@@ -252,18 +260,9 @@
 
     def start(self) -> None:
         """Start every task; returns at once."""
-        settings = self._settings
         self._peer_server.start(self.node, self.forwarder)
-        keeper = LinkKeeper(
-            self.node,
-            self.forwarder,
-            parse_peers(settings.peers),
-            settings.degree,
-            settings.cross_degree,
-            self._clock,
-        )
         for task in (
-            keeper.run,
+            self.keeper.run,
             self.reader.run,
             self.target_keeper.run,
             self._watch_pauses,
--- a/packages/cassiastaird/cassiastaird/peers/keeper.py
+++ b/packages/cassiastaird/cassiastaird/peers/keeper.py
@@ -15,6 +15,8 @@
 TICK_S = 1.0  # interval of heartbeats and of looks at the mesh
 PATIENCE_S = 3.0  # time that the VM with the higher name waits to be dialled
 DIAL_TIMEOUT_S = 2.0
+UNWANTED_S = 60.0  # age at which a link outside the mesh is closed
+POLL_S = 0.005
 
 
 class LinkKeeper:
@@ -44,6 +46,8 @@
         self._cross = cross
         self._clock: Clock = clock
         self._dialling: set[tuple[str, int]] = set()
+        self._wanted: set[str] = set()
+        self._wanted_for = -1
         self._wanted_since: dict[str, float] = {}
 
     def run(self) -> None:
@@ -56,14 +60,24 @@
         """Send heartbeats and open missing links."""
         self._node.beat()
         self._node.roster.forget_old()
-        known = self._node.roster.all()
-        wanted = choose_links(self._node.own, known, self._degree, self._cross)
+        wanted = self._find_wanted()
         missing = wanted - set(self._node.links)
         for name in missing:
             self._want(name)
         for name in set(self._wanted_since) - missing:
             del self._wanted_since[name]
-        self._dial_seeds({(vm.host, vm.peer_port) for vm in known})
+        self._close_unwanted(wanted)
+        self._dial_seeds()
+
+    def _find_wanted(self) -> set[str]:
+        """Return the links that the mesh asks for, anew only when VMs change."""
+        roster = self._node.roster
+        if self._wanted_for != roster.generation:
+            self._wanted_for = roster.generation
+            self._wanted = choose_links(
+                self._node.own, roster.all(), self._degree, self._cross
+            )
+        return self._wanted
 
     def _want(self, name: str) -> None:
         """Dial a VM; the lower name of two dials first, so they open one link."""
@@ -74,8 +88,35 @@
         vm = self._node.roster.find(name)
         self.dial(vm.host, vm.peer_port)
 
-    def _dial_seeds(self, known: set[tuple[str, int]]) -> None:
+    def _close_unwanted(self, wanted: set[str]) -> None:
+        """Close links that this VM dialled and does not want any more."""
+        limit = self._clock.now() - UNWANTED_S
+        for name, link in list(self._node.links.items()):
+            dialled_at = link.dialled_at
+            if name not in wanted and dialled_at is not None and dialled_at < limit:
+                link.close()
+
+    def reach(self, name: str, limit: float) -> WebsocketLink | None:
+        """Return a link to a VM, opening one if there is none.
+
+        Parameters
+        ----------
+        name : str
+            Name of the VM.
+        limit : float
+            Seconds to wait for the link.
+        """
+        vm = self._node.roster.find(name)
+        if name not in self._node.links and vm is not None:
+            self.dial(vm.host, vm.peer_port)
+            with eventlet.Timeout(limit, False):
+                while name not in self._node.links:
+                    eventlet.sleep(POLL_S)
+        return self._node.links.get(name)
+
+    def _dial_seeds(self) -> None:
         """Dial the peers of the settings that no VM is known for."""
+        known = {(vm.host, vm.peer_port) for vm in self._node.roster.all()}
         own = (self._node.own.host, self._node.own.peer_port)
         for address in self._seeds:
             if address != own and address not in known:
@@ -99,7 +140,8 @@
                 proxy=None,
                 legacy=True,
             )
-            WebsocketLink(websocket, self._node, self._forwarder).run()
+            now = self._clock.now()
+            WebsocketLink(websocket, self._node, self._forwarder, now).run()
         except (OSError, TimeoutError, WebSocketException) as error:
             logger.debug("dial failed", host=host, port=port, reason=repr(error))
         finally:
--- a/packages/cassiastaird/cassiastaird/peers/websocket_link.py
+++ b/packages/cassiastaird/cassiastaird/peers/websocket_link.py
@@ -25,10 +25,19 @@
         Takes the peer's messages.
     forwarder : Forwarder
         Takes calls and replies.
+    dialled_at : float or None
+        Monotonic time at which this VM dialled; None if the peer did.
     """
 
-    def __init__(self, websocket, node: PeerNode, forwarder: Forwarder):
+    def __init__(
+        self,
+        websocket,
+        node: PeerNode,
+        forwarder: Forwarder,
+        dialled_at: float | None = None,
+    ):
         super().__init__()
+        self.dialled_at = dialled_at
         self._websocket = websocket
         self._node = node
         self._forwarder = forwarder
--- /dev/null
+++ b/standins/proofs_test.py
@@ -0,0 +1,28 @@
+"""Tests of the page of proofs."""
+
+from testtools import TestCase
+
+from .proofs import ROOT, find_proofs, write_page
+
+PROMISES = {
+    "one snapshot",
+    "true coverage",
+    "own answer",
+    '"not run" is true',
+    "at most once",
+    "leaving targets",
+    "planned stop",
+    "tickets",
+    "cut off",
+}
+
+
+class TestPage(TestCase):
+    """The page and the tests say the same."""
+
+    def test_page_matches_the_tests(self):
+        page = (ROOT / "docs" / "PROOFS.md").read_text()
+        assert page == write_page(), "run python -m standins.prove --page"
+
+    def test_every_promise_has_a_proof(self):
+        assert {proof.promise for proof in find_proofs()} == PROMISES
--- /dev/null
+++ b/standins/prove.py
@@ -0,0 +1,46 @@
+"""Runs the proofs alone and prints a table: promise, failure, verdict."""
+
+import sys
+
+import pytest
+
+from .proofs import ROOT, Proof, find_proofs, write_page
+
+
+class Verdicts:
+    """Plugin that remembers the outcome of each test."""
+
+    def __init__(self):
+        self.outcomes: dict[str, str] = {}
+
+    def pytest_runtest_logreport(self, report) -> None:
+        """Remember a failure in any phase, else the outcome of the call."""
+        if report.failed or report.when == "call":
+            known = self.outcomes.get(report.nodeid)
+            if known != "failed":
+                self.outcomes[report.nodeid] = report.outcome
+
+
+def main() -> int:
+    """Run the proofs, or write the page; return the exit status."""
+    if "--page" in sys.argv:
+        (ROOT / "docs" / "PROOFS.md").write_text(write_page())
+        return 0
+    proofs = find_proofs()
+    verdicts = Verdicts()
+    tests = sorted({proof.test for proof in proofs})
+    status = pytest.main(["-q", "--no-header", *tests], plugins=[verdicts])
+    print_table(proofs, verdicts.outcomes)
+    return int(status)
+
+
+def print_table(proofs: list[Proof], outcomes: dict[str, str]) -> None:
+    """Print the table."""
+    width = max(len(proof.failure) for proof in proofs)
+    for proof in proofs:
+        verdict = outcomes.get(proof.test, "not run")
+        print(f"{proof.promise:<18} {proof.failure:<{width}} {verdict}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
