Read the peak memory of the daemon itself

Cause: the peak in the status page was the same for three sizes, 102.6 MB: the resource usage counts what the parent held before the start. Ruled out: the daemon's own state. The idle slopes use two seeds for each VM, since links to further seeds are closed only after a minute and counted as control traffic. Slopes measured again.

--- a/packages/cassiastaird/cassiastaird/status.py
+++ b/packages/cassiastaird/cassiastaird/status.py
@@ -2,6 +2,7 @@
 
 import resource
 from dataclasses import dataclass
+from pathlib import Path
 
 from cassiastair.admission import Admission
 from cassiastair.errors import NotFoundError
@@ -79,7 +80,7 @@
                 "in_flight": self.admission.in_flight,
             },
             "process": {
-                "peak_rss_mb": round(usage.ru_maxrss / 1024, 1),
+                "peak_rss_mb": round(read_peak_memory() / 1024, 1),
                 "cpu_s": round(usage.ru_utime + usage.ru_stime, 3),
                 "pauses": self.pauses.pauses,
             },
@@ -117,6 +118,17 @@
         }
 
 
+def read_peak_memory() -> int:
+    """Return the peak resident memory in kilobytes.
+
+    The resource usage would also count the parent's memory before the start.
+    """
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1])
+    return 0
+
+
 def describe_limit(limit: float) -> int | None:
     """Return a bound as a whole number; None for no bound."""
     return None if limit == float("inf") else round(limit)
--- a/standins/slopes/daemon.py
+++ b/standins/slopes/daemon.py
@@ -19,6 +19,7 @@
 def measure_idle(count: int) -> dict:
     """Return what an idle daemon of a fleet uses for control in a second."""
     with tempfile.TemporaryDirectory() as folder, Session(Path(folder)) as session:
+        session.seeds = 2  # further links would be closed only after a minute
         for number in range(count):
             session.start_daemon(f"vm-{number}", f"dc{number % 3}", log_level="warning")
         session.publish([{"object": "index/none", "state": None}])
