Forget targets that are not in force; read the whole as a newcomer

Cause: what was known of removed targets (versions, leaving marks, due times) was kept for good; with names that change, memory would grow without end. Found by reading.

Ruled out: dropping marks with the ticket that removes a target, since word of a target may come before its ticket; they go after a minute.

--- a/packages/cassiastair/cassiastair/membership/leaving.py
+++ b/packages/cassiastair/cassiastair/membership/leaving.py
@@ -4,7 +4,7 @@
 target's own answers, seen here or by a peer, and the platform's list.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 
@@ -84,10 +84,12 @@
         """Tell whether a target gets no new work."""
         return target in self._marks or target in self._listed
 
-    def drop(self, target: str) -> None:
-        """Forget a target that was removed from the configuration."""
-        if self._marks.pop(target, None) is not None:
+    def keep_only(self, targets: Container[str]) -> None:
+        """Forget all targets but some."""
+        for name in [name for name in self._marks if name not in targets]:
+            del self._marks[name]
             self.generation += 1
+        self._cleared = {mark for mark in self._cleared if mark.target in targets}
 
     def all(self) -> list[LeavingMark]:
         """Return the marks that targets set themselves."""
--- a/packages/cassiastair/cassiastair/membership/membership_test.py
+++ b/packages/cassiastair/cassiastair/membership/membership_test.py
@@ -117,6 +117,13 @@
         assert not leaving.is_leaving("t")
         assert not leaving.note(mark)  # late word of the old run
 
+    def test_removed_targets_are_forgotten(self):
+        leaving = LeavingTargets()
+        leaving.note(LeavingMark("gone", "r1"))
+        leaving.note(LeavingMark("kept", "r1"))
+        leaving.keep_only({"kept"})
+        assert [mark.target for mark in leaving.all()] == ["kept"]
+
     def test_older_list_is_ignored(self):
         leaving = LeavingTargets()
         assert leaving.note_list(5, ["t"])
--- a/packages/cassiastair/cassiastair/platform/reader.py
+++ b/packages/cassiastair/cassiastair/platform/reader.py
@@ -78,7 +78,7 @@
             return False
         self._backoff = FIRST_BACKOFF_S
         if page.revision < self.revision:
-            self._start_over(page.revision)
+            self._start_over()
             return False
         self._take(page.entries)
         self.revision = page.revision
@@ -86,13 +86,13 @@
             self._freshness.note(0.0)
         return True
 
-    def _start_over(self, revision: int) -> None:
+    def _start_over(self) -> None:
         """Read everything again from a platform that shows an older state.
 
         It may be a stale replica or a restored one. Merging is idempotent, so
         reading twice is safe, and freshness is not confirmed meanwhile.
         """
-        self.revision = 0 if revision else revision
+        self.revision = 0
         self._sleep(self._backoff * (0.5 + self._random.random()))
 
     def advance(self, revision: int) -> None:
--- a/packages/cassiastair/cassiastair/search/engine_test.py
+++ b/packages/cassiastair/cassiastair/search/engine_test.py
@@ -13,7 +13,7 @@
 from ..snapshots import AnswerMerge
 from ..tail import NoHedge
 from ..targets import TargetFailure
-from ..testing import find_expected, run_in_virtual_time
+from ..testing import find_expected, in_virtual_time, run_in_virtual_time
 from ..testing.engine_bench import EngineBench, cut_shards, make_target
 from .scatter import Scatter
 
@@ -38,18 +38,16 @@
 class TestSnapshot(TestCase):
     """Every answer comes from one snapshot."""
 
-    def test_newest_version_that_all_hold(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=3, replicas=2)
-            bench.client.get("s1.0").held = (HeldVersions(1, 2, 5),)
-            bench.client.get("s1.1").held = (HeldVersions(1, 1, 2),)
-            answer = bench.search()
-            assert answer.snapshot == Snapshot(3, 1)
-            assert answer.coverage.share == 1.0
-            check_records(answer, 3)
-
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_newest_version_that_all_hold(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=3, replicas=2)
+        bench.client.get("s1.0").held = (HeldVersions(1, 2, 5),)
+        bench.client.get("s1.1").held = (HeldVersions(1, 1, 2),)
+        answer = bench.search()
+        assert answer.snapshot == Snapshot(3, 1)
+        assert answer.coverage.share == 1.0
+        check_records(answer, 3)
 
     @proof("one snapshot", "versions move on while queries run")
     def test_versions_move_on_while_queries_run(self):
@@ -64,114 +62,98 @@
         assert len(versions) > 20
 
     @proof("one snapshot", "a target answers with another version than asked")
-    def test_foreign_version_is_refused(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=2, replicas=1)
-            bench.client.get("s1.0").spoil = lambda a: replace(
-                a, snapshot=Snapshot(a.snapshot.version - 1, a.snapshot.epoch)
-            )
-            answer = bench.search()
-            assert answer.coverage.share == 0.5
-            assert answer.coverage.missing[0].reason is Reason.BAD_ANSWER
-            check_records(answer, 2)
-
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_foreign_version_is_refused(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=2, replicas=1)
+        bench.client.get("s1.0").spoil = lambda a: replace(
+            a, snapshot=Snapshot(a.snapshot.version - 1, a.snapshot.epoch)
+        )
+        answer = bench.search()
+        assert answer.coverage.share == 0.5
+        assert answer.coverage.missing[0].reason is Reason.BAD_ANSWER
+        check_records(answer, 2)
 
-    def test_protection_off_mixes_versions(self):
+    @in_virtual_time
+    def test_protection_off_mixes_versions(self, clock):
         """Without the two checks the same fault does mix versions."""
-
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=2, replicas=1)
-            bench.client.get("s1.0").spoil = lambda a: replace(
-                a,
-                snapshot=Snapshot(a.snapshot.version - 1, 1),
-                records=find_expected("s1", a.key_range, a.snapshot.version - 1),
-            )
-            with (
-                mock.patch.object(Scatter, "_is_own", lambda *_: True),
-                mock.patch.object(AnswerMerge, "add", add_anything),
-            ):
-                answer = bench.search()
-            versions = {record[2].partition("@")[2] for record in answer.records}
-            assert len(versions) == 2
-
-        run_in_virtual_time(run)
-
-    @proof("one snapshot", "shards are split while queries run")
-    def test_split_while_a_query_runs(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=2, replicas=2)
-            for name in ("s0.0", "s0.1", "s1.0", "s1.1"):
-                bench.client.get(name).latency = lambda: 0.05
-            bench.search()
-            eventlet.spawn_after(0.02, split_service, bench)
+        bench = EngineBench(clock)
+        bench.set_up(services=2, replicas=1)
+        bench.client.get("s1.0").spoil = lambda a: replace(
+            a,
+            snapshot=Snapshot(a.snapshot.version - 1, 1),
+            records=find_expected("s1", a.key_range, a.snapshot.version - 1),
+        )
+        with (
+            mock.patch.object(Scatter, "_is_own", lambda *_: True),
+            mock.patch.object(AnswerMerge, "add", add_anything),
+        ):
             answer = bench.search()
-            assert answer.snapshot.epoch == 2
-            assert answer.coverage.share == 1.0
-            check_split(answer)
+        versions = {record[2].partition("@")[2] for record in answer.records}
+        assert len(versions) == 2
 
-        run_in_virtual_time(run)
+    @proof("one snapshot", "shards are split while queries run")
+    @in_virtual_time
+    def test_split_while_a_query_runs(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=2, replicas=2)
+        for name in ("s0.0", "s0.1", "s1.0", "s1.1"):
+            bench.client.get(name).latency = lambda: 0.05
+        bench.search()
+        eventlet.spawn_after(0.02, split_service, bench)
+        answer = bench.search()
+        assert answer.snapshot.epoch == 2
+        assert answer.coverage.share == 1.0
+        check_split(answer)
 
     @proof("one snapshot", "a shard is handed over between targets")
-    def test_hand_over_while_queries_run(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2, shards=2)
-            bench.search()
-            left, right = cut_shards(2)
-            service = Service("s0", "idx", (left, right), bench.policy("s0"))
-            moved = [
-                make_target("s0", 0, ranges=(left,)),
-                make_target("s0", 1, ranges=(right,)),
-            ]
-            bench.apply(2, Index("idx", 2, ("s0",)), service, *moved)
-            both = (HeldVersions(1, 1, 3), HeldVersions(2, 1, 3))
-            bench.client.get("s0.0").held = both
-            bench.client.get("s0.1").held = both
-            answer = bench.search()
-            assert answer.snapshot.epoch == 2
-            assert answer.coverage.share == 1.0
-            check_records(answer, 1, 2)
-
-        run_in_virtual_time(run)
-
-    def test_lowest_version(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=1)
-            assert bench.search(lowest_version=3).snapshot.version == 3
-            self.assertRaises(NoSnapshotError, bench.search, lowest_version=4)
-
-        run_in_virtual_time(run)
-
-    def test_first_search_waits_for_what_targets_hold(self):
+    @in_virtual_time
+    def test_hand_over_while_queries_run(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2, shards=2)
+        bench.search()
+        left, right = cut_shards(2)
+        service = Service("s0", "idx", (left, right), bench.policy("s0"))
+        moved = [
+            make_target("s0", 0, ranges=(left,)),
+            make_target("s0", 1, ranges=(right,)),
+        ]
+        bench.apply(2, Index("idx", 2, ("s0",)), service, *moved)
+        both = (HeldVersions(1, 1, 3), HeldVersions(2, 1, 3))
+        bench.client.get("s0.0").held = both
+        bench.client.get("s0.1").held = both
+        answer = bench.search()
+        assert answer.snapshot.epoch == 2
+        assert answer.coverage.share == 1.0
+        check_records(answer, 1, 2)
+
+    @in_virtual_time
+    def test_lowest_version(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=1)
+        assert bench.search(lowest_version=3).snapshot.version == 3
+        self.assertRaises(NoSnapshotError, bench.search, lowest_version=4)
+
+    @in_virtual_time
+    def test_first_search_waits_for_what_targets_hold(self, clock):
         """Found when a VM was replaced under load: its first searches failed."""
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2)
+        answers = bench.client.report
+        failures = iter(range(4))
 
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2)
-            answers = bench.client.report
-            failures = iter(range(4))
-
-            def report(target, timeout):
-                if next(failures, None) is not None:
-                    raise TargetFailure("all connections are in use")
-                return answers(target, timeout)
-
-            with mock.patch.object(bench.client, "report", report):
-                assert bench.search().coverage.share == 1.0
-
-        run_in_virtual_time(run)
+        def report(target, timeout):
+            if next(failures, None) is not None:
+                raise TargetFailure("all connections are in use")
+            return answers(target, timeout)
 
-    def test_unknown_index(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            self.assertRaises(NotFoundError, bench.search)
+        with mock.patch.object(bench.client, "report", report):
+            assert bench.search().coverage.share == 1.0
 
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_unknown_index(self, clock):
+        bench = EngineBench(clock)
+        self.assertRaises(NotFoundError, bench.search)
 
 
 def add_anything(merge: AnswerMerge, answer) -> bool:
@@ -232,77 +214,67 @@
     """Every answer states truly which part of the data it covers."""
 
     @proof("true coverage", "replicas are lost")
-    def test_lost_replica_costs_nothing(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=10, replicas=2)
-            bench.search()
-            for number in range(10):
-                bench.client.get(f"s{number}.{number % 2}").fault = "connect"
-            for _ in range(5):
-                answer = bench.search()
-                assert answer.coverage.share == 1.0
-                check_records(answer, 10)
-
-        run_in_virtual_time(run)
-
-    @proof("true coverage", "a whole service is lost")
-    def test_lost_service_is_named(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=4, replicas=2)
-            bench.search()
-            for name in ("s2.0", "s2.1"):
-                bench.client.get(name).fault = "connect"
+    @in_virtual_time
+    def test_lost_replica_costs_nothing(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=10, replicas=2)
+        bench.search()
+        for number in range(10):
+            bench.client.get(f"s{number}.{number % 2}").fault = "connect"
+        for _ in range(5):
             answer = bench.search()
-            assert answer.coverage.share == 0.75
-            [missing] = answer.coverage.missing
-            assert (missing.service, missing.reason) == ("s2", Reason.UNREACHABLE)
-            check_records(answer, 4)
+            assert answer.coverage.share == 1.0
+            check_records(answer, 10)
 
-        run_in_virtual_time(run)
+    @proof("true coverage", "a whole service is lost")
+    @in_virtual_time
+    def test_lost_service_is_named(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=4, replicas=2)
+        bench.search()
+        for name in ("s2.0", "s2.1"):
+            bench.client.get(name).fault = "connect"
+        answer = bench.search()
+        assert answer.coverage.share == 0.75
+        [missing] = answer.coverage.missing
+        assert (missing.service, missing.reason) == ("s2", Reason.UNREACHABLE)
+        check_records(answer, 4)
 
     @proof("true coverage", "an answer claims a wider range than asked")
-    def test_wide_and_overlapping_ranges_are_refused(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=1, shards=2)
-            bench.client.get("s0.0").spoil = lambda a: replace(
-                a, key_range=KeyRange(0, 2**32)
-            )
-            answer = bench.search()
-            assert answer.coverage.share == 0.0
-            assert answer.records == []
-
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_wide_and_overlapping_ranges_are_refused(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=1, shards=2)
+        bench.client.get("s0.0").spoil = lambda a: replace(
+            a, key_range=KeyRange(0, 2**32)
+        )
+        answer = bench.search()
+        assert answer.coverage.share == 0.0
+        assert answer.records == []
 
     @proof("true coverage", "answers come after the deadline")
-    def test_late_answers_do_not_count(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=4, replicas=1)
-            bench.client.get("s3.0").latency = lambda: 0.5
-            started = clock.now()
-            answer = bench.search(deadline_s=0.1)
-            assert clock.now() - started < 0.11
-            assert answer.coverage.share == 0.75
-            assert answer.coverage.missing[0].reason is Reason.DEADLINE
-            eventlet.sleep(1)
-            check_records(answer, 4)
-
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_late_answers_do_not_count(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=4, replicas=1)
+        bench.client.get("s3.0").latency = lambda: 0.5
+        started = clock.now()
+        answer = bench.search(deadline_s=0.1)
+        assert clock.now() - started < 0.11
+        assert answer.coverage.share == 0.75
+        assert answer.coverage.missing[0].reason is Reason.DEADLINE
+        eventlet.sleep(1)
+        check_records(answer, 4)
 
     @proof("true coverage", "random faults at once, two and more at a time")
-    def test_random_faults_against_the_oracle(self):
-        def run(clock):
-            partial = 0
-            for seed in range(150):
-                answer = search_with_faults(clock, random.Random(seed))
-                check_records(answer, 5, 2)
-                partial += answer.coverage.share < 1.0
-            assert 10 < partial < 150  # the faults do bite, and not always
-
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_random_faults_against_the_oracle(self, clock):
+        partial = 0
+        for seed in range(150):
+            answer = search_with_faults(clock, random.Random(seed))
+            check_records(answer, 5, 2)
+            partial += answer.coverage.share < 1.0
+        assert 10 < partial < 150  # the faults do bite, and not always
 
     def test_share_is_one_only_when_whole(self):
         merge = AnswerMerge(Snapshot(1, 1), [])
@@ -337,97 +309,85 @@
     """Each caller gets the answer to its own request."""
 
     @proof("own answer", "answers of two requests are crossed")
-    def test_crossed_answers_are_refused(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=2, replicas=2)
-            bench.search()
-            kept = []
-
-            def cross(answer):
-                kept.append(answer)
-                return kept[0]
-
-            bench.client.get("s1.0").spoil = cross
-            bench.client.get("s1.1").fault = "connect"
-            bench.search()
-            answer = bench.search()
-            assert [part.service for part in answer.coverage.missing] == ["s1"]
-
-        run_in_virtual_time(run)
+    @in_virtual_time
+    def test_crossed_answers_are_refused(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=2, replicas=2)
+        bench.search()
+        kept = []
+
+        def cross(answer):
+            kept.append(answer)
+            return kept[0]
+
+        bench.client.get("s1.0").spoil = cross
+        bench.client.get("s1.1").fault = "connect"
+        bench.search()
+        answer = bench.search()
+        assert [part.service for part in answer.coverage.missing] == ["s1"]
 
 
 class TestTail(TestCase):
     """Stragglers are hedged within a budget."""
 
-    def test_hedge_answers_for_a_straggler(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2)
-            for _ in range(100):
-                bench.search()
-            slow_once(bench)
-            started = clock.now()
-            answer = bench.search()
-            assert answer.coverage.share == 1.0
-            assert clock.now() - started < 0.05
-
-        run_in_virtual_time(run)
-
-    def test_without_hedge_the_straggler_sets_the_latency(self):
-        def run(clock):
-            bench = EngineBench(clock, make_hedge=lambda policy: NoHedge())
-            bench.set_up(services=1, replicas=2)
-            for _ in range(100):
-                bench.search()
-            slow_once(bench)
-            started = clock.now()
+    @in_virtual_time
+    def test_hedge_answers_for_a_straggler(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2)
+        for _ in range(100):
+            bench.search()
+        slow_once(bench)
+        started = clock.now()
+        answer = bench.search()
+        assert answer.coverage.share == 1.0
+        assert clock.now() - started < 0.05
+
+    @in_virtual_time
+    def test_without_hedge_the_straggler_sets_the_latency(self, clock):
+        bench = EngineBench(clock, make_hedge=lambda policy: NoHedge())
+        bench.set_up(services=1, replicas=2)
+        for _ in range(100):
             bench.search()
-            assert clock.now() - started >= 0.5
-
-        run_in_virtual_time(run)
-
-    def test_hedges_stay_within_the_budget(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=10, replicas=2, hedge_budget=0.05)
-            source = random.Random(5)
-            for service in range(10):
-                for number in range(2):
-                    fake = bench.client.get(f"s{service}.{number}")
-                    fake.latency = lambda: 0.3 if source.random() < 0.3 else 0.005
-            sent = sum(bench.search().subrequests for _ in range(300))
-            extra = sent / 3000 - 1.0
-            assert 0.0 < extra <= 0.05 + 10 * 20 / 3000  # share, and each one's burst
-
-        run_in_virtual_time(run)
-
-    def test_loser_is_cancelled(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2)
-            for _ in range(100):
-                bench.search()
-            slow_once(bench)
+        slow_once(bench)
+        started = clock.now()
+        bench.search()
+        assert clock.now() - started >= 0.5
+
+    @in_virtual_time
+    def test_hedges_stay_within_the_budget(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=10, replicas=2, hedge_budget=0.05)
+        source = random.Random(5)
+        for service in range(10):
+            for number in range(2):
+                fake = bench.client.get(f"s{service}.{number}")
+                fake.latency = lambda: 0.3 if source.random() < 0.3 else 0.005
+        sent = sum(bench.search().subrequests for _ in range(300))
+        extra = sent / 3000 - 1.0
+        assert 0.0 < extra <= 0.05 + 10 * 20 / 3000  # share, and each one's burst
+
+    @in_virtual_time
+    def test_loser_is_cancelled(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2)
+        for _ in range(100):
             bench.search()
-            eventlet.sleep(0.3)
-            fakes = bench.client.targets.values()
-            assert sum(fake.cancelled for fake in fakes) == 1
-            assert sum(fake.in_progress for fake in fakes) == 0
-
-        run_in_virtual_time(run)
-
-    def test_limit_of_a_target_holds(self):
-        def run(clock):
-            bench = EngineBench(clock, vm_count=7)
-            bench.set_up(services=1, replicas=0, shards=1)
-            bench.apply(2, make_target("s0", 0, slots=2, connection_limit=25))
-            threads = [eventlet.spawn(bench.search, 5.0) for _ in range(60)]
-            answers = [thread.wait() for thread in threads]
-            assert all(answer.coverage.share == 1.0 for answer in answers)
-            assert bench.client.get("s0.0").highest_in_progress <= 25 // 7
-
-        run_in_virtual_time(run)
+        slow_once(bench)
+        bench.search()
+        eventlet.sleep(0.3)
+        fakes = bench.client.targets.values()
+        assert sum(fake.cancelled for fake in fakes) == 1
+        assert sum(fake.in_progress for fake in fakes) == 0
+
+    @in_virtual_time
+    def test_limit_of_a_target_holds(self, clock):
+        bench = EngineBench(clock, vm_count=7)
+        bench.set_up(services=1, replicas=0, shards=1)
+        bench.apply(2, make_target("s0", 0, slots=2, connection_limit=25))
+        threads = [eventlet.spawn(bench.search, 5.0) for _ in range(60)]
+        answers = [thread.wait() for thread in threads]
+        assert all(answer.coverage.share == 1.0 for answer in answers)
+        assert bench.client.get("s0.0").highest_in_progress <= 25 // 7
 
 
 def slow_once(bench: EngineBench) -> None:
@@ -441,47 +401,41 @@
     """A target that is leaving gets no new work."""
 
     @proof("leaving targets", "the target says so itself, its report lies")
-    def test_draining_answer_is_sticky(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2)
+    @in_virtual_time
+    def test_draining_answer_is_sticky(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2)
+        bench.search()
+        fake = bench.client.get("s0.0")
+        fake.fault = "draining"
+        while not bench.leaving.is_leaving("s0.0"):
             bench.search()
-            fake = bench.client.get("s0.0")
-            fake.fault = "draining"
-            while not bench.leaving.is_leaving("s0.0"):
-                bench.search()
-            fake.fault = ""
-            asked = fake.asked
-            for _ in range(100):
-                assert bench.search().coverage.share == 1.0
-            assert fake.asked == asked
-
-        run_in_virtual_time(run)
+        fake.fault = ""
+        asked = fake.asked
+        for _ in range(100):
+            assert bench.search().coverage.share == 1.0
+        assert fake.asked == asked
 
     @proof("leaving targets", "only a ticket says so")
-    def test_ticket_says_so(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2)
+    @in_virtual_time
+    def test_ticket_says_so(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2)
+        bench.search()
+        bench.apply(2, make_target("s0", 1, leaving=True))
+        asked = bench.client.get("s0.1").asked
+        for _ in range(50):
             bench.search()
-            bench.apply(2, make_target("s0", 1, leaving=True))
-            asked = bench.client.get("s0.1").asked
-            for _ in range(50):
-                bench.search()
-            assert bench.client.get("s0.1").asked == asked
-
-        run_in_virtual_time(run)
+        assert bench.client.get("s0.1").asked == asked
 
     @proof("leaving targets", "only the platform's lagging list says so")
-    def test_list_says_so(self):
-        def run(clock):
-            bench = EngineBench(clock)
-            bench.set_up(services=1, replicas=2)
+    @in_virtual_time
+    def test_list_says_so(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=1, replicas=2)
+        bench.search()
+        bench.leaving.note_list(1, ["s0.1"])
+        asked = bench.client.get("s0.1").asked
+        for _ in range(50):
             bench.search()
-            bench.leaving.note_list(1, ["s0.1"])
-            asked = bench.client.get("s0.1").asked
-            for _ in range(50):
-                bench.search()
-            assert bench.client.get("s0.1").asked == asked
-
-        run_in_virtual_time(run)
+        assert bench.client.get("s0.1").asked == asked
--- a/packages/cassiastair/cassiastair/snapshots/held_table.py
+++ b/packages/cassiastair/cassiastair/snapshots/held_table.py
@@ -1,5 +1,7 @@
 """The versions that targets hold, learned from every answer they give."""
 
+from collections.abc import Container
+
 from ..data import HeldVersions, Snapshot
 
 
@@ -31,7 +33,8 @@
         held = self._held.get(target)
         return held is None or any(span.holds(snapshot) for span in held)
 
-    def drop(self, target: str) -> None:
-        """Forget a target."""
-        if self._held.pop(target, None) is not None:
+    def keep_only(self, targets: Container[str]) -> None:
+        """Forget all targets but some."""
+        for name in [name for name in self._held if name not in targets]:
+            del self._held[name]
             self.generation += 1
--- a/packages/cassiastair/cassiastair/testing/virtual_time.py
+++ b/packages/cassiastair/cassiastair/testing/virtual_time.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from functools import wraps
 
 from eventlet import hubs, patcher
 from eventlet.hubs.hub import BaseHub
@@ -66,3 +67,14 @@
     if error is not None:
         raise error
     return result
+
+
+def in_virtual_time(test: Callable) -> Callable:
+    """Decorate a test method so that it runs in virtual time and gets the clock."""
+
+    @wraps(test)
+    def run(case) -> None:
+        """Run the test."""
+        run_in_virtual_time(lambda clock: test(case, clock))
+
+    return run
--- a/packages/cassiastaird/cassiastaird/target_keeper.py
+++ b/packages/cassiastaird/cassiastaird/target_keeper.py
@@ -13,6 +13,7 @@
 from .targets import HttpTargetClient
 
 TICK_S = 0.5
+FORGET_INTERVAL_S = 60.0  # longer than a ticket may lag behind word of its targets
 WARM_CONNECTIONS = 1  # idle connections kept to each target
 IDLE_REPORT_S = 5.0  # age of the last answer at which a report is asked for
 DOWN_REPORT_S = 1.0  # the same for a target that is down
@@ -54,6 +55,7 @@
         self._due: dict[str, float] = {}
         self._checked: set[str] = set()
         self._warm = False
+        self._forget_at = clock.now() + FORGET_INTERVAL_S
 
     def is_warm(self) -> bool:
         """Tell whether every target in force was asked once; stays true then."""
@@ -67,12 +69,25 @@
         """Look after the targets for as long as the process runs."""
         while True:
             self.tick()
+            self._forget_removed()
             eventlet.sleep(TICK_S)
 
+    def _forget_removed(self) -> None:
+        """Drop what is known of targets that are not in force any more."""
+        now = self._clock.now()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_INTERVAL_S
+        targets = self._parts.catalogue.targets
+        self._client.keep_only(set(targets))
+        self._parts.held.keep_only(targets)
+        self._leaving.keep_only(targets)
+        self._due = {name: at for name, at in self._due.items() if name in targets}
+        self._parts.fleet.known()
+
     def tick(self) -> None:
         """Check the targets that are due."""
         targets = self._parts.catalogue.targets
-        self._client.keep_only(set(targets))
         now = self._clock.now()
         due = [t for t in targets.values() if self._due.get(t.name, 0.0) <= now]
         for target in due[:CHECKS_AT_ONCE]:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -8,6 +8,7 @@
 from eventlet.event import Event
 
 from .raw_http import RawRequest, RequestReader, format_reply
+from .two_ports import TwoPorts
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_PAGE_BYTES = 1_000_000
@@ -35,46 +36,22 @@
         self.down = False
         self.frozen = False
         self.stale_at: int | None = None
-        self._listener = eventlet.listen((host, port), backlog=512)
-        self._control = eventlet.listen((host, 0))
-        self.port = self._listener.getsockname()[1]
-        self.control_port = self._control.getsockname()[1]
-        self._tasks: list = []
+        self._ports = TwoPorts(
+            lambda sock: serve(sock, self._answer),
+            lambda sock: serve(sock, self._answer_control),
+            host,
+            port,
+        )
+        self.port = self._ports.port
+        self.control_port = self._ports.control_port
 
     def start(self) -> None:
         """Begin to accept connections; returns at once."""
-        for listener, answer in (
-            (self._listener, self._answer),
-            (self._control, self._answer_control),
-        ):
-            self._tasks.append(eventlet.spawn(self._accept, listener, answer))
+        self._ports.start()
 
     def stop(self) -> None:
         """Stop accepting connections."""
-        for task in self._tasks:
-            task.kill()
-        self._listener.close()
-        self._control.close()
-
-    def _accept(self, listener, answer) -> None:
-        """Accept connections."""
-        while True:
-            sock, _ = listener.accept()
-            eventlet.spawn_n(self._serve, sock, answer)
-
-    def _serve(self, sock, answer) -> None:
-        """Serve the requests of one connection."""
-        reader = RequestReader(sock)
-        try:
-            while (request := reader.read()) is not None:
-                reply = answer(request)
-                if reply is None:
-                    return
-                sock.sendall(reply)
-        except OSError:
-            return
-        finally:
-            sock.close()
+        self._ports.stop()
 
     def publish(self, key: str, value: str) -> int:
         """Publish a value and return its revision.
@@ -162,3 +139,13 @@
                 setattr(self, name, body[name])
         document = {"revision": self.revision, "counts": dict(self.counts)}
         return format_reply(200, document)
+
+
+def serve(sock, answer) -> None:
+    """Serve the requests of one connection, one after the other."""
+    reader = RequestReader(sock)
+    while (request := reader.read()) is not None:
+        reply = answer(request)
+        if reply is None:
+            return
+        sock.sendall(reply)
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -13,6 +13,7 @@
 from .raw_http import RawRequest, RequestReader, format_reply
 from .records import answer_query, make_records
 from .target_settings import TargetSettings
+from .two_ports import TwoPorts
 
 COLD_FACTOR = 5.0
 FROZEN_POLL_S = 0.05
@@ -47,44 +48,20 @@
         self._cancelled: dict[str, Event] = {}
         self._sockets: set = set()
         self._silent: set = set()
-        self._listener = eventlet.listen((host, port), backlog=512)
-        self._control = eventlet.listen((host, 0))
-        self.port = self._listener.getsockname()[1]
-        self.control_port = self._control.getsockname()[1]
-        self._tasks: list = []
+        self._ports = TwoPorts(self._serve_connection, self._serve_control, host, port)
+        self.port = self._ports.port
+        self.control_port = self._ports.control_port
 
     def start(self) -> None:
         """Begin to accept connections; returns at once."""
-        for listener, handle in (
-            (self._listener, self._serve_connection),
-            (self._control, self._serve_control),
-        ):
-            self._tasks.append(eventlet.spawn(self._accept, listener, handle))
+        self._ports.start()
 
     def stop(self) -> None:
         """Close everything, as a killed process does."""
-        for task in self._tasks:
-            task.kill()
-        self._listener.close()
-        self._control.close()
+        self._ports.stop()
         for sock in list(self._sockets):
             shut_down(sock)
 
-    def _accept(self, listener, handle) -> None:
-        """Accept connections."""
-        while True:
-            sock, _ = listener.accept()
-            eventlet.spawn_n(self._run_connection, sock, handle)
-
-    def _run_connection(self, sock, handle) -> None:
-        """Serve a connection and close it."""
-        try:
-            handle(sock)
-        except OSError:
-            return
-        finally:
-            sock.close()
-
     def _serve_connection(self, sock) -> None:
         """Serve the requests of one connection, one after the other."""
         if len(self._sockets) >= self.settings.connection_limit:
--- /dev/null
+++ b/standins/two_ports.py
@@ -0,0 +1,58 @@
+"""A server with one port for its protocol and one for its control path."""
+
+from collections.abc import Callable
+
+import eventlet
+
+BACKLOG = 512
+
+
+class TwoPorts:
+    """Listens on two ports; each connection is served by a task of its own.
+
+    Parameters
+    ----------
+    serve, serve_control : callable
+        Serve an accepted socket until its end.
+    host : str
+        Loopback address to listen on.
+    port : int
+        TCP port of the protocol; 0 lets the system choose.
+    """
+
+    def __init__(self, serve: Callable, serve_control: Callable, host: str, port: int):
+        self._listeners = {
+            eventlet.listen((host, port), backlog=BACKLOG): serve,
+            eventlet.listen((host, 0)): serve_control,
+        }
+        self.port, self.control_port = (
+            listener.getsockname()[1] for listener in self._listeners
+        )
+        self._tasks: list = []
+
+    def start(self) -> None:
+        """Begin to accept connections; returns at once."""
+        for listener, serve in self._listeners.items():
+            self._tasks.append(eventlet.spawn(self._accept, listener, serve))
+
+    def stop(self) -> None:
+        """Stop accepting connections."""
+        for task in self._tasks:
+            task.kill()
+        for listener in self._listeners:
+            listener.close()
+
+    def _accept(self, listener, serve: Callable) -> None:
+        """Accept connections."""
+        while True:
+            sock, _ = listener.accept()
+            eventlet.spawn_n(self._run, sock, serve)
+
+    def _run(self, sock, serve: Callable) -> None:
+        """Serve a connection and close it."""
+        try:
+            serve(sock)
+        except OSError:
+            return
+        finally:
+            sock.close()
