Take out what nothing calls

Cause: found on rereading the whole change: three functions, a constant and a first assignment that nothing used (a text page reader, a target's restart, a count of local VMs, a start timeout, a sum set twice). Behaviour stays.

Ruled out as twins: equal import lists, and the records that only look alike.

The whole suite was not run again for this commit.

--- a/packages/cassiastair/cassiastair/membership/roster.py
+++ b/packages/cassiastair/cassiastair/membership/roster.py
@@ -89,8 +89,3 @@
         own = self.own.data_centre
         vms = self._vms.values()
         return [v.name for v in vms if v.data_centre == own and self.is_live(v.name)]
-
-    def local_count(self) -> int:
-        """Return the known VMs of the own data centre, this one included."""
-        own = self.own.data_centre
-        return 1 + sum(vm.data_centre == own for vm in self._vms.values())
--- a/standins/bench/hot_path.py
+++ b/standins/bench/hot_path.py
@@ -123,7 +123,6 @@
     for _ in range(50):
         caller.post("/v1/search", body)
     before = caller.get("/status").body["process"]["cpu_s"]
-    sent = 0
 
     def run() -> int:
         """Search one after the other."""
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -44,10 +44,6 @@
         reply = self._http.request("GET", path)
         return CallerReply(reply.status, orjson.loads(reply.data))
 
-    def get_text(self, path: str) -> str:
-        """Read a text page."""
-        return self._http.request("GET", path).data.decode()
-
     def close(self) -> None:
         """Close the connections."""
         self._http.close()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -10,7 +10,6 @@
 
 import orjson
 
-START_TIMEOUT_S = 60
 ROOT = Path(__file__).resolve().parent.parent
 
 
--- a/standins/session.py
+++ b/standins/session.py
@@ -61,14 +61,6 @@
         ):
             self.targets[plan.name] = process
 
-    def restart_target(self, plan: TargetPlan, port: int, **more) -> None:
-        """Start a target again on its old port."""
-        settings = describe_process(plan, 1, more)
-        process = self.processes.start(
-            plan.name, "standins.target", settings, str(port)
-        )
-        self.targets[plan.name] = process
-
     def publish(self, changes: list, number: int | None = None) -> int:
         """Publish a ticket; returns its number."""
         if number is None:
