--- a/packages/cassiastair/cassiastair/errors.py
+++ b/packages/cassiastair/cassiastair/errors.py
@@ -184,3 +184,48 @@
 
     code = "peer_protocol"
     remedy = "run the same release on all VMs"
+
+
+class NotConfiguredError(RefusedError):
+    """No configuration is known yet."""
+
+    code = "not_configured"
+    status = 503
+    remedy = "try again after the time given"
+    retry_after = 1.0
+
+
+class NoRouteError(RefusedError):
+    """No route takes the request."""
+
+    code = "no_route"
+    status = 404
+    remedy = "check host and path against the configuration"
+
+
+class NoTargetError(RefusedError):
+    """No target could take the request, and none has run it.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong.
+    retry_after : float
+        Seconds after which another try may be served.
+    """
+
+    code = "no_target"
+    status = 503
+    remedy = "try again after the time given"
+
+    def __init__(self, message: str, retry_after: float):
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
+class RunUnknownError(CassiastairError):
+    """Targets failed, and at least one may have run the request."""
+
+    code = "run_unknown"
+    status = 502
+    remedy = "repeat it only if it may run twice"
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/__init__.py
@@ -0,0 +1,29 @@
+"""Serving one request through targets: choice, repeats, timing and merging."""
+
+from .answer import CallerAnswer, PartsAnswer, WholeAnswer
+from .answer_time import AnswerTime
+from .book import TargetBook
+from .decisions import DecisionLog, NoDecisionLog
+from .forwarder import Forwarder
+from .parts import ForwardingParts
+from .repeat_budget import RepeatBudget
+from .request import CallerRequest
+from .routed_target import RoutedTarget
+from .transport import TargetReply, TargetTransport
+
+__all__ = [
+    "AnswerTime",
+    "CallerAnswer",
+    "CallerRequest",
+    "DecisionLog",
+    "Forwarder",
+    "ForwardingParts",
+    "NoDecisionLog",
+    "PartsAnswer",
+    "RepeatBudget",
+    "RoutedTarget",
+    "TargetBook",
+    "TargetReply",
+    "TargetTransport",
+    "WholeAnswer",
+]
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/answer_time.py
@@ -0,0 +1,88 @@
+"""When a search answers with the parts that it has."""
+
+from dataclasses import dataclass
+
+from ..routing import Route
+
+MARGIN_S = 0.010  # time kept for the way back to the caller and for the merge
+LATE_FACTOR = 2.0  # multiple of the objective until which a late search waits on
+FINISH_MARGIN_S = 0.040  # time before the deadline at which a final answer leaves
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerTime:
+    """Times at which one search stops waiting, in seconds of the clock.
+
+    An answer within the objective is worth the square of the share of parts in it.
+    One after the objective is worth a tenth of that. So with the lowest share
+    reached, an answer with k of n parts at the objective beats the full one later
+    whenever (k/n)^2 > 0.1, which the lowest share implies in practice: at the
+    objective the search answers with what it has. Before it, waiting costs nothing,
+    since the credit does not depend on the time, so a part that may come is never
+    given up. If the lowest share is not reached at the objective, the credit is
+    small either way and parts count more than haste: the search waits on until all
+    are in or a multiple of the objective has passed.
+
+    Parameters
+    ----------
+    objective : float
+        Time at which an answer leaves if the lowest share is in.
+    patience : float
+        Time from which a late search answers as soon as the lowest share is in.
+    deadline : float
+        Time at which the search ends without an answer.
+    """
+
+    objective: float
+    patience: float
+    deadline: float
+
+    @classmethod
+    def plan(cls, route: Route, received: float, patience: float | None):
+        """Return the times of one search.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the search.
+        received : float
+            Time at which the request was read.
+        patience : float or None
+            Seconds that the caller will wait.
+        """
+        deadline = find_deadline(route, received, patience)
+        objective = received + route.objective - MARGIN_S
+        late = received + LATE_FACTOR * route.objective
+        return cls(min(objective, deadline), min(late, deadline), deadline)
+
+    def next_after(self, now: float) -> float:
+        """Return the next time at which the search may stop waiting."""
+        for time in (self.objective, self.patience):
+            if now < time:
+                return time
+        return self.deadline
+
+    def should_answer(self, now: float, enough: bool) -> bool:
+        """Tell whether a search with open parts answers now.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        enough : bool
+            Whether the lowest share is in.
+        """
+        if now >= self.deadline:
+            return True
+        if not enough:
+            return False
+        if now >= self.patience:
+            return True
+        return self.objective <= now < self.objective + MARGIN_S
+
+
+def find_deadline(route: Route, received: float, patience: float | None) -> float:
+    """Return the time at which a request gets its final answer at the latest."""
+    limit = route.timeout if patience is None else min(route.timeout, patience)
+    margin = min(FINISH_MARGIN_S, 0.2 * limit)
+    return received + limit - margin
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/choice.py
@@ -0,0 +1,66 @@
+"""Choice of one target for one send."""
+
+import random
+from collections.abc import Sequence
+
+from .evidence import RoutedEvidence
+
+FOREIGN_FACTOR = 1.15  # weight of the way to another data centre
+SHARPNESS = 2  # power of the expected wait in the odds of a choice
+
+
+class RoutedChooser:
+    """Random choice that favours short expected waits.
+
+    Load: each VM sees a target a few times a second, so most targets have nothing
+    in flight from here and differ in speed alone. The fastest is not always taken,
+    since all VMs would then queue at it; the odds fall with the square of the
+    expected wait. Targets that stall or have just failed stand back while another
+    remains.
+
+    Parameters
+    ----------
+    source : random.Random
+        Source of random numbers.
+    data_centre : str
+        Data centre of this VM.
+    """
+
+    def __init__(self, source: random.Random, data_centre: str):
+        self._source = source
+        self._data_centre = data_centre
+
+    def choose(
+        self, candidates: Sequence[RoutedEvidence], now: float, patience: float
+    ) -> RoutedEvidence:
+        """Return the target to send to.
+
+        Parameters
+        ----------
+        candidates : sequence of RoutedEvidence
+            At least one target.
+        now : float
+            Time in seconds.
+        patience : float
+            Seconds without an answer after which a target is taken for stalled.
+        """
+        if len(candidates) == 1:
+            return candidates[0]
+        sound = [
+            c
+            for c in candidates
+            if c.avoid_until <= now and not c.is_stalled(now, patience)
+        ]
+        if not sound:
+            return min(candidates, key=lambda c: (c.avoid_until, c.in_flight))
+        if len(sound) == 1:
+            return sound[0]
+        odds = [1.0 / self._estimate(c) ** SHARPNESS for c in sound]
+        return self._source.choices(sound, odds)[0]
+
+    def _estimate(self, candidate: RoutedEvidence) -> float:
+        """Return the expected wait, relative to a typical one."""
+        wait = max(candidate.slowness, 0.1) * (1 + candidate.in_flight)
+        if candidate.target.data_centre != self._data_centre:
+            wait *= FOREIGN_FACTOR
+        return wait
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/parts.py
@@ -0,0 +1,46 @@
+"""The collaborators of forwarding."""
+
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..routing import RoutingTable
+from .book import TargetBook
+from .choice import RoutedChooser
+from .decisions import DecisionLog
+from .latencies import KindLatencies
+from .repeat_budget import RepeatBudget
+from .transport import TargetTransport
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingParts:
+    """What the composition root wires into the forwarder.
+
+    Parameters
+    ----------
+    table : RoutingTable
+        Routes in force.
+    book : TargetBook
+        Targets of each service.
+    transport : TargetTransport
+        Sends to targets.
+    chooser : RoutedChooser
+        Chooses among targets.
+    budget : RepeatBudget
+        Bounds repeats.
+    latencies : KindLatencies
+        Latencies of each kind of request.
+    decisions : DecisionLog
+        Takes what is decided about requests.
+    clock : Clock
+        Source of time.
+    """
+
+    table: RoutingTable
+    book: TargetBook
+    transport: TargetTransport
+    chooser: RoutedChooser
+    budget: RepeatBudget
+    latencies: KindLatencies
+    decisions: DecisionLog
+    clock: Clock
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/request.py
@@ -0,0 +1,31 @@
+"""One request of a caller, as the adapter decoded it."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """What a caller asked.
+
+    Parameters
+    ----------
+    attempt : str
+        The caller's identity of this attempt.
+    host : str
+        Host in lower case, without a port.
+    path : str
+        Path without the query.
+    patience : float or None
+        Seconds that the caller will wait; None if it did not say.
+    received : float
+        Time in seconds at which the whole request had been read.
+    message : object
+        The request as read, for the adapter that writes it to targets.
+    """
+
+    attempt: str
+    host: str
+    path: str
+    patience: float | None
+    received: float
+    message: object
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -0,0 +1,124 @@
+"""One send to one target, in a task of its own."""
+
+from eventlet import hubs, spawn_n
+from greenlet import greenlet
+
+from ..targets.failures import (
+    BrokenFailure,
+    ConnectFailure,
+    RefusedFailure,
+    TargetFailure,
+)
+from .evidence import RoutedEvidence
+from .latencies import KindLatency
+from .parts import ForwardingParts
+from .request import CallerRequest
+from .transport import TargetReply
+
+LINGER_S = 0.35  # time for a send that nobody waits for, to keep its connection
+
+
+class Send:
+    """A request on its way to one target.
+
+    Parameters
+    ----------
+    parts : ForwardingParts
+        Collaborators.
+    evidence : RoutedEvidence
+        Target that is asked.
+    kind : KindLatency
+        Latencies of the kind of request.
+    reason : str
+        ``first``, ``hedge`` or ``retry``.
+    """
+
+    __slots__ = (
+        "evidence",
+        "reason",
+        "started",
+        "ended",
+        "outcome",
+        "_parts",
+        "_kind",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        parts: ForwardingParts,
+        evidence: RoutedEvidence,
+        kind: KindLatency,
+        reason: str,
+    ):
+        self.evidence = evidence
+        self.reason = reason
+        self.started = parts.clock.now()
+        self.ended = False
+        self.outcome: TargetReply | TargetFailure | None = None
+        self._parts = parts
+        self._kind = kind
+        self._task: greenlet | None = None
+
+    def start(self, request: CallerRequest, deadline: float, once: bool, tell) -> None:
+        """Send; `tell` is called with this object when an outcome is there."""
+        self.evidence.began(self, self.started)
+        self._task = spawn_n(self._run, request, deadline, once, tell)
+
+    def _run(self, request: CallerRequest, deadline: float, once: bool, tell) -> None:
+        """Speak with the target and learn from the outcome."""
+        try:
+            self.outcome = self._exchange(request, deadline, once)
+        finally:
+            self.ended = True
+            self.evidence.ended(self)
+        tell(self)
+
+    def _exchange(self, request: CallerRequest, deadline: float, once: bool):
+        """Return the reply or the failure."""
+        target = self.evidence.target
+        try:
+            reply = self._parts.transport.send(target, request, deadline, once)
+        except TargetFailure as failure:
+            self._learn_failure(failure)
+            return failure
+        except Exception as error:
+            self._parts.decisions.warn(
+                "internal failure", request.attempt, reason=repr(error), trace=True
+            )
+            return BrokenFailure(f"internal failure: {error!r}")
+        now = self._parts.clock.now()
+        if reply.succeeded:
+            self.evidence.answered(self._kind.observe(now - self.started), now)
+        else:
+            self.evidence.failed(now)
+        return reply
+
+    def _learn_failure(self, failure: TargetFailure) -> None:
+        """Stand back from a target that refuses or cannot be reached."""
+        if isinstance(failure, (ConnectFailure, RefusedFailure, BrokenFailure)):
+            self.evidence.failed(self._parts.clock.now())
+
+    def stop(self) -> None:
+        """End the send now; its connection is closed."""
+        if not self.ended:
+            waited = self._parts.clock.now() - self.started
+            self.evidence.waited(waited / max(self._kind.typical, 1e-4))
+            self.evidence.failed(self._parts.clock.now())
+            hubs.get_hub().schedule_call_global(0, self._task.throw)
+
+
+def release(sends: list[Send]) -> None:
+    """Let sends that nobody waits for end by themselves, and stop them after a while.
+
+    A target that has begun costs the same work either way; a closed connection
+    costs it a new one besides.
+    """
+    if sends:
+        hubs.get_hub().schedule_call_global(LINGER_S, stop_all, sends)
+
+
+def stop_all(sends: list[Send]) -> None:
+    """Stop the sends that have not ended."""
+    for send in sends:
+        send.stop()
--- /dev/null
+++ b/packages/cassiastair/cassiastair/news/reader.py
@@ -0,0 +1,140 @@
+"""The task that reads the platform's store when it is this VM's turn."""
+
+import random
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..membership import Freshness, ReaderSchedule
+from .source import HistoryGone, NewsSource, SourceFailure
+from .table import NewsTable
+
+WATCH_WAIT_S = 2.5  # within the bounds of changes, also when a watch goes silent
+GATHER_S = 0.35  # pause after a change, so that one call brings several
+IDLE_S = 0.2  # pause between looks at the schedule
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 0.8  # a store that returns is found within a second
+DOUBT_S = 2.0  # time after a failure for which lapsed entries may return
+
+
+class NewsReader:
+    """Reads everything once, then watches; starts over when history is gone.
+
+    Parameters
+    ----------
+    source : NewsSource
+        The store.
+    table : NewsTable
+        Takes what is read.
+    schedule : ReaderSchedule
+        Tells whether it is this VM's turn.
+    get_live : callable
+        Returns the live VMs of the data centre.
+    freshness : Freshness
+        Age of the store's word.
+    note : callable
+        Takes an event name and its inputs, for the log.
+    clock : Clock
+        Source of time.
+    sleep : callable
+        Lets other tasks run for some seconds.
+    source_of_chance : random.Random
+        Source of the backoff's jitter.
+    """
+
+    def __init__(
+        self,
+        source: NewsSource,
+        table: NewsTable,
+        schedule: ReaderSchedule,
+        get_live: Callable[[], list[str]],
+        freshness: Freshness,
+        note: Callable[..., None],
+        clock: Clock,
+        sleep: Callable[[float], None],
+        source_of_chance: random.Random,
+    ):
+        self._source = source
+        self._table = table
+        self._schedule = schedule
+        self._get_live = get_live
+        self._freshness = freshness
+        self._note = note
+        self._clock = clock
+        self._sleep = sleep
+        self._random = source_of_chance
+        self._backoff = FIRST_BACKOFF_S
+        self._must_read_all = True
+        self._failed_at: float | None = None
+        self.failing = False
+
+    def run(self) -> None:
+        """Read for as long as the process runs."""
+        while True:
+            if self._schedule.should_read(self._get_live(), self._freshness.age):
+                self.read_once()
+            else:
+                self._sleep(IDLE_S)
+
+    def is_doubtful(self) -> bool:
+        """Tell whether the store fails, or failed a moment ago."""
+        if self.failing:
+            return True
+        return (
+            self._failed_at is not None
+            and self._clock.now() - self._failed_at < DOUBT_S
+        )
+
+    def read_once(self) -> bool:
+        """Read one page, or pause after a failure; tell whether it was read."""
+        try:
+            if self._must_read_all and self._table.revision < 0:
+                page = self._source.read_all()
+                news = self._table.replace(page.items, page.revision)
+                self._must_read_all = False
+            else:
+                news = self._watch()
+        except HistoryGone:
+            self._note("history gone", revision=self._table.revision)
+            return self._read_again()
+        except SourceFailure as failure:
+            self._take_failure(failure)
+            return False
+        self._take_success()
+        if news:
+            self._sleep(GATHER_S)
+        return True
+
+    def _watch(self) -> list:
+        """Wait for changes."""
+        page = self._source.watch(self._table.revision, WATCH_WAIT_S)
+        return self._table.merge(page.items, page.revision)
+
+    def _read_again(self) -> bool:
+        """Read everything, since the changes in between are not kept."""
+        try:
+            page = self._source.read_all()
+        except SourceFailure as failure:
+            self._take_failure(failure)
+            return False
+        self._table.replace(page.items, page.revision)
+        self._take_success()
+        return True
+
+    def _take_success(self) -> None:
+        """Take note that the store has answered."""
+        if self.failing:
+            self._note("platform regained", revision=self._table.revision)
+            self.failing = False
+            self._failed_at = self._clock.now()
+        self._backoff = FIRST_BACKOFF_S
+        self._freshness.note(0.0)
+
+    def _take_failure(self, failure: SourceFailure) -> None:
+        """Take note of a failure and wait before the next call."""
+        if not self.failing:
+            self._note(
+                "platform lost", revision=self._table.revision, reason=str(failure)
+            )
+            self.failing = True
+        self._sleep(self._backoff * (0.5 + self._random.random()))
+        self._backoff = min(LONGEST_BACKOFF_S, self._backoff * 2)
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry of callers' requests that routes forward: HTTP server, transport, wiring."""
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -0,0 +1,227 @@
+"""The composition root of the daemon that forwards by routes."""
+
+import os
+import random
+import time
+from dataclasses import replace
+
+import eventlet
+from cassiastair.data import Vm
+from cassiastair.errors import SettingsError
+from cassiastair.forwarding import (
+    Forwarder,
+    ForwardingParts,
+    RepeatBudget,
+    TargetBook,
+)
+from cassiastair.forwarding.choice import RoutedChooser
+from cassiastair.forwarding.latencies import KindLatencies
+from cassiastair.forwarding.repeat_budget import RepeatBounds
+from cassiastair.membership import Freshness, ReaderSchedule, Roster
+from cassiastair.news import NewsReader, NewsSource, NewsTable
+from cassiastair.routing import RoutingTable
+
+from ..drain import Drain
+from ..heap import Heap
+from .boot_clock import BootClock
+from .caller_server import CallerServer
+from .dialect import Dialect
+from .entry_settings import EntrySettings
+from .event_log import EventLog
+from .item_decoder import ItemDecoder
+from .news_intake import NewsIntake
+from .ready_server import ReadyServer
+from .request_counts import RequestCounts
+from .routed_transport import RoutedTransport
+
+BACKLOG = 1024
+TEND_S = 0.5  # interval of looks at leaving targets and the heap
+LEAST_VMS = 7  # VMs assumed to share bounds until more are known
+DEFAULT_CONNECTIONS = 16  # connections of a target whose service states no limit
+STOP_SHARE = 0.5  # part of the grace for which new connections are taken
+END_MARGIN_S = 0.4  # time before the end of the grace at which work is given up
+
+
+class EntryDaemon:
+    """One entry VM.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    dialect : Dialect
+        Words requests and answers.
+    decoder : ItemDecoder
+        Decodes the store's items.
+    open_store : callable
+        Makes the client of the store from its host and port.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        dialect: Dialect,
+        decoder: ItemDecoder,
+        open_store,
+    ):
+        self.settings = settings
+        self._source = random.Random()
+        self._clock = BootClock()
+        self.log = EventLog(settings.vm, self._clock)
+        self.drain = Drain()
+        self.counts = RequestCounts()
+        self.own = self._make_own()
+        self._wire_forwarding(dialect)
+        self._wire_news(decoder, open_store(*settings.store_address))
+        self._listeners = [
+            eventlet.listen(address, backlog=BACKLOG)
+            for address in (settings.caller_address, settings.ready_address)
+        ]
+
+    def _make_own(self) -> Vm:
+        """Return this VM with a new incarnation."""
+        settings = self.settings
+        return Vm(
+            name=settings.vm,
+            incarnation=f"{time.time_ns():016x}{self._source.getrandbits(32):08x}",
+            data_centre=settings.data_centre,
+            host=settings.host,
+            api_port=settings.caller_address[1],
+            peer_port=settings.peer_address[1],
+        )
+
+    def _wire_forwarding(self, dialect: Dialect) -> None:
+        """Make what serves callers."""
+        settings = self.settings
+        self.roster = Roster(self.own, self._clock)
+        self.table = RoutingTable(self._source)
+        self.transport = RoutedTransport(
+            dialect, self._clock, self._get_connections, self.count_vms
+        )
+        self.book = TargetBook(
+            self._clock,
+            settings.drain,
+            lambda: self.reader.is_doubtful(),
+            self.transport.forget,
+        )
+        bounds = RepeatBounds(
+            settings.repeat_ratio, settings.repeat_slack, settings.repeat_window
+        )
+        parts = ForwardingParts(
+            table=self.table,
+            book=self.book,
+            transport=self.transport,
+            chooser=RoutedChooser(self._source, settings.data_centre),
+            budget=RepeatBudget(self._clock, bounds, self.count_vms),
+            latencies=KindLatencies(self._clock),
+            decisions=self.log,
+            clock=self._clock,
+        )
+        self.parts = parts
+        self.server = CallerServer(
+            Forwarder(parts),
+            self.table,
+            dialect,
+            self.drain,
+            self.log,
+            self.counts,
+            self._clock,
+        )
+
+    def _wire_news(self, decoder: ItemDecoder, store: NewsSource) -> None:
+        """Make what learns from the platform."""
+        self.store = store
+        self.intake = NewsIntake(decoder, self.table, self.book, self.log)
+        self.news = NewsTable(self.intake.take)
+        self.freshness = Freshness(self._clock)
+        self.reader = NewsReader(
+            store,
+            self.news,
+            ReaderSchedule(self.own.name, self.own.data_centre),
+            self.roster.live_locals,
+            self.freshness,
+            lambda event, **inputs: self.log.warn(event, "", **inputs),
+            self._clock,
+            eventlet.sleep,
+            self._source,
+        )
+
+    def _get_connections(self, service: str) -> int:
+        """Return the connections that each target of a service accepts."""
+        configuration = self.table.configuration
+        if configuration is None:
+            return DEFAULT_CONNECTIONS
+        return configuration.connections.get(service, DEFAULT_CONNECTIONS)
+
+    def count_vms(self) -> int:
+        """Return the VMs that share the bounds of targets and budgets."""
+        return max(LEAST_VMS, 1 + len(self.roster.all()))
+
+    def is_ready(self) -> bool:
+        """Tell whether this VM takes work."""
+        if self.drain.draining or self.table.configuration is None:
+            return False
+        return len(self.book) > 0
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics page."""
+        return b""
+
+    def start(self) -> None:
+        """Start every task; returns at once."""
+        callers, questions = self._listeners
+        ready = ReadyServer(self.is_ready, self.render_metrics)
+        for task, *inputs in (
+            (self.server.run, callers),
+            (ready.run, questions),
+            (self.reader.run,),
+            (self._tend,),
+        ):
+            eventlet.spawn_n(self._run_task, task, *inputs)
+        self.log.warn("started", "", incarnation=self.own.incarnation, pid=os.getpid())
+
+    def _run_task(self, task, *inputs) -> None:
+        """Run a task that must not end; log what ended it."""
+        try:
+            task(*inputs)
+        except Exception as error:
+            self.log.warn(
+                "task ended", "", task=task.__qualname__, reason=repr(error), trace=True
+            )
+            raise
+
+    def _tend(self) -> None:
+        """Look after leaving targets and the heap in a short interval."""
+        heap = Heap()
+        while True:
+            self.book.tend()
+            heap.tend(len(self.news))
+            eventlet.sleep(TEND_S)
+
+    def reload(self, read_settings) -> None:
+        """Take the settings that may change while the daemon runs."""
+        try:
+            settings = read_settings()
+        except SettingsError as error:
+            self.log.warn("settings refused", "", reason=error.message[:500])
+            return
+        self.settings = replace(
+            self.settings, peers=settings.peers, grace=settings.grace
+        )
+        self.log.warn("settings read", "", peers=len(settings.peers))
+
+    def stop(self) -> bool:
+        """Stop gracefully; tell whether every request came to its end."""
+        self.log.warn("stopping", "", in_progress=self.drain.in_progress)
+        grace = self.settings.grace
+        started = self._clock.now()
+        self.drain.draining = True
+        eventlet.sleep(grace * STOP_SHARE)
+        self.server.stop_listening()
+        while self.drain.in_progress:
+            if self._clock.now() - started > grace - END_MARGIN_S:
+                break
+            eventlet.sleep(0.02)
+        whole = not self.drain.in_progress
+        self.log.warn("stopped", "", in_progress=self.drain.in_progress)
+        return whole
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/entry/entry_settings.py
@@ -0,0 +1,52 @@
+"""Settings of an entry daemon that forwards by routes."""
+
+from dataclasses import dataclass
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Checked settings.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    data_centre : str
+        Its data centre.
+    host : str
+        Its IP number.
+    caller_address, ready_address, peer_address : (str, int)
+        Where to listen for callers, questions of readiness, and peers.
+    peers : tuple of (str, int)
+        Addresses of some peers, which may be stale.
+    store_address : (str, int)
+        Address of the platform's store.
+    drain : float
+        Seconds after which a leaving target must not get requests.
+    grace : float
+        Seconds from the signal to stop to the end.
+    apply : float
+        Seconds in which a configuration comes in force.
+    repeat_ratio, repeat_slack, repeat_window : float
+        Bounds on repeated sends of all VMs, see `RepeatBounds`.
+    descriptors : int
+        File descriptors that the process may use.
+    """
+
+    vm: str
+    data_centre: str
+    host: str
+    caller_address: Address
+    ready_address: Address
+    peer_address: Address
+    peers: tuple[Address, ...]
+    store_address: Address
+    drain: float
+    grace: float
+    apply: float
+    repeat_ratio: float
+    repeat_slack: float
+    repeat_window: float
+    descriptors: int
--- a/packages/cassiastaird/cassiastaird/targets/client.py
+++ b/packages/cassiastaird/cassiastaird/targets/client.py
@@ -14,7 +14,6 @@
     TargetReport,
 )
 from cassiastair.targets.fleet import is_same_process
-from urllib3.exceptions import HTTPError
 
 from .codec import (
     decode_object,
@@ -25,9 +24,9 @@
     encode_write,
 )
 from .connection import TargetConnection
-from .pool import TargetPool
+from .pool import ShareLimit, TargetPool
 
-BROKEN = (OSError, HTTPError)
+BROKEN = OSError
 
 
 class HttpTargetClient(TargetClient):
@@ -76,7 +75,7 @@
             return pool
         if pool is not None:
             pool.close()
-        pool = TargetPool(target, self._fleet, self._clock)
+        pool = TargetPool(target, ShareLimit(self._fleet, target), self._clock)
         self._pools[target.name] = pool
         return pool
 
--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -3,15 +3,14 @@
 import socket
 
 from cassiastair.clock import Clock
-from cassiastair.data import Target
 from eventlet import hubs
 from eventlet.hubs.hub import READ
 from greenlet import getcurrent
-from urllib3.connection import HTTPConnection
 
 from .reply_reader import ReplyReader
 
 CONNECT_TIMEOUT_S = 1.0
+SILENCE_MS = 3000  # unacknowledged bytes after which the system closes a connection
 RECEIVE_BYTES = 65_536
 PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
 
@@ -19,16 +18,17 @@
 class TargetConnection:
     """A connection that is open from the start.
 
-    The library opens the connection. Requests are written in one piece and replies
-    are read by a parser in C, and the connection stays registered with the event
-    loop between requests: the library's own exchange, and a registration for each
-    wait, took most of the processor time of a subrequest. See
-    docs/design/hot-path.md.
+    Requests are written in one piece and replies are read by a parser in C, and the
+    connection stays registered with the event loop between requests: an HTTP
+    library's own exchange, and a registration for each wait, took most of the
+    processor time of a subrequest. See docs/design/hot-path.md.
 
     Parameters
     ----------
-    target : Target
-        Where to connect.
+    host : str
+        IP number to connect to.
+    port : int
+        TCP port.
     clock : Clock
         Source of time.
 
@@ -40,21 +40,19 @@
 
     __slots__ = (
         "answered_at",
+        "idle_limit",
         "reusable",
         "_dropped",
-        "_http",
+        "_sock",
         "_hub",
         "_listener",
         "_raw",
         "_waiter",
     )
 
-    def __init__(self, target: Target, clock: Clock):
-        self._http = HTTPConnection(target.host, target.port, timeout=CONNECT_TIMEOUT_S)
-        self._http.connect()
-        # The task that waits is bounded by its deadline, so no timer for each read.
-        self._http.sock.settimeout(None)
-        self._raw = self._http.sock.fd
+    def __init__(self, host: str, port: int, clock: Clock):
+        self._sock = open_socket(host, port)
+        self._raw = self._sock.fd
         self._waiter = None
         self._dropped = False
         self._hub = hubs.get_hub()
@@ -66,6 +64,7 @@
             self._on_closed,
         )
         self.answered_at = clock.now()
+        self.idle_limit = float("inf")
         self.reusable = True
 
     def exchange(self, request: bytes) -> tuple[int, bytes]:
@@ -81,12 +80,22 @@
         OSError
             If the connection breaks or the reply is not HTTP.
         """
-        self._send(request)
         reader = ReplyReader()
+        self.exchange_with(request, reader)
+        return reader.status, reader.body
+
+    def exchange_with(self, request: bytes, reader: ReplyReader) -> None:
+        """Send a request and feed a reader until the reply is whole.
+
+        Raises
+        ------
+        OSError
+            If the connection breaks or the reply is not HTTP.
+        """
+        self._send(request)
         while not reader.done:
             reader.feed(self._receive())
         self.reusable = reader.keeps_open
-        return reader.status, reader.body
 
     def _send(self, request: bytes) -> None:
         """Send bytes; only what the socket does not take at once has to wait."""
@@ -95,7 +104,7 @@
         except BlockingIOError:
             sent = 0
         if sent < len(request):
-            self._http.sock.sendall(request[sent:])
+            self._sock.sendall(request[sent:])
 
     def _receive(self) -> bytes:
         """Wait for bytes and return them; none at the end of the connection."""
@@ -154,4 +163,28 @@
     def close(self) -> None:
         """Close the connection."""
         self._stop_listening()
-        self._http.close()
+        self._sock.close()
+
+
+def open_socket(host: str, port: int) -> socket.socket:
+    """Return a connected socket without a time limit on reads and writes.
+
+    The task that waits is bounded by its deadline, so no timer for each read.
+
+    Raises
+    ------
+    OSError
+        If no connection can be made.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+        sock.settimeout(CONNECT_TIMEOUT_S)
+        sock.connect((host, port))
+        sock.settimeout(None)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -42,20 +42,20 @@
 
     Parameters
     ----------
-    target : Target
-        The target.
-    fleet : TargetFleet
-        Knows this VM's share of the connections.
+    target : Target or RoutedTarget
+        The target: its host and port are used.
+    limit : ConcurrencyLimit
+        Connections that may be open.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, target: Target, fleet: TargetFleet, clock: Clock):
+    def __init__(self, target, limit: ConcurrencyLimit, clock: Clock):
         self.target = target
         self.requests = RequestWriter(target)
         self.opened = 0
         self._clock = clock
-        self._limit = ShareLimit(fleet, target)
+        self._limit = limit
         self._gate = Gate(self._limit)
         self._idle: list[TargetConnection] = []
 
@@ -87,15 +87,21 @@
         try:
             while self._idle:
                 connection = self._idle.pop()
-                if not connection.is_dropped(look):
+                if not self._is_worn(connection) and not connection.is_dropped(look):
                     return connection
                 connection.close()
             self.opened += 1
-            return TargetConnection(self.target, self._clock)
+            return TargetConnection(self.target.host, self.target.port, self._clock)
         except BaseException:
             self._gate.leave()
             raise
 
+    def _is_worn(self, connection: TargetConnection) -> bool:
+        """Tell whether the target may close an idle connection at any moment."""
+        if connection.idle_limit == float("inf"):
+            return False
+        return self._clock.now() - connection.answered_at > connection.idle_limit
+
     def put(self, connection: TargetConnection) -> None:
         """Take a connection back whose answer was read to its end."""
         connection.answered_at = self._clock.now()
