Keep lapsed targets only while the store fails

Ruled out: late news; the VM knew of the removal 92 ms after it. Conclusion: doubt counts at the moment of the removal, and only a failing store extends it.

--- a/packages/cassiastair/cassiastair/forwarding/book.py
+++ b/packages/cassiastair/cassiastair/forwarding/book.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from ..news.doubt import StoreDoubt
 from .evidence import RoutedEvidence
 from .routed_target import RoutedTarget
 
-RETURN_S = 2.0  # the platform's bound on the return of entries lost in an outage
+RETURN_S = 2.2  # the platform's two seconds for the return of lost entries, and news
+RETURN_SHARE = 0.75  # highest part of the drain bound that this may take
 LAST_RESORT_SHARE = 0.5  # part of the drain bound in which a leaver may still be asked
 
 
@@ -16,8 +18,8 @@
     A target that drains or whose entry is gone gets no work while its service has
     another one. If it has none, such a target stays the last resort for a part of
     the drain bound. Entries may also lapse because targets could not reach the
-    platform; while its word is in doubt, and for the time in which entries return
-    afterwards, lapsed targets therefore stay the last resort.
+    platform; while it fails, and for the time in which entries return afterwards,
+    lapsed targets therefore stay the last resort.
 
     Parameters
     ----------
@@ -25,8 +27,8 @@
         Source of time.
     drain : float
         Seconds after which a leaving target must not get requests.
-    is_doubtful : callable
-        Tells whether the platform's word cannot be trusted now.
+    doubt : StoreDoubt
+        Tells whether the platform fails, or failed a moment ago.
     forget : callable
         Called with each target that is not asked any more.
     """
@@ -35,12 +37,13 @@
         self,
         clock: Clock,
         drain: float,
-        is_doubtful: Callable[[], bool],
+        doubt: StoreDoubt,
         forget: Callable[[RoutedTarget], None],
     ):
         self._clock = clock
         self._last_resort = drain * LAST_RESORT_SHARE
-        self._is_doubtful = is_doubtful
+        self._doubt = doubt
+        self._return = min(RETURN_S, RETURN_SHARE * drain)
         self._forget = forget
         self._live: dict[str, RoutedEvidence] = {}
         self._by_service: dict[str, list[RoutedEvidence]] = {}
@@ -88,7 +91,8 @@
         if known is None:
             return
         self._drop(known)
-        self._keep(known, self._clock.now() + self._last_resort)
+        lasting = self._return if self._doubt.is_recent() else self._last_resort
+        self._keep(known, self._clock.now() + lasting)
 
     def _drop(self, evidence: RoutedEvidence) -> None:
         """Take a target out of the lists."""
@@ -126,11 +130,11 @@
     def tend(self) -> None:
         """Forget leavers whose time is over; called about once a second."""
         now = self._clock.now()
-        doubtful = self._is_doubtful()
+        failing = self._doubt.is_present()
         for service, leaving in list(self._leaving.items()):
             for name, (evidence, until) in list(leaving.items()):
-                if doubtful and not evidence.target.draining:
-                    leaving[name] = (evidence, max(until, now + RETURN_S))
+                if failing and not evidence.target.draining:
+                    leaving[name] = (evidence, max(until, now + self._return))
                 elif now >= until:
                     del leaving[name]
                     self._forget(evidence.target)
--- a/packages/cassiastair/cassiastair/news/__init__.py
+++ b/packages/cassiastair/cassiastair/news/__init__.py
@@ -1,5 +1,6 @@
 """The platform's word: what it publishes, how it is read and passed on."""
 
+from .doubt import StoreDoubt
 from .item import NewsItem
 from .reader import NewsReader
 from .source import HistoryGone, NewsPage, NewsSource, SourceFailure
@@ -13,4 +14,5 @@
     "NewsSource",
     "NewsTable",
     "SourceFailure",
+    "StoreDoubt",
 ]
--- a/packages/cassiastair/cassiastair/news/reader.py
+++ b/packages/cassiastair/cassiastair/news/reader.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Callable
 
-from ..clock import Clock
 from ..membership import Freshness, ReaderSchedule
+from .doubt import StoreDoubt
 from .source import HistoryGone, NewsSource, SourceFailure
 from .table import NewsTable
 
@@ -13,7 +13,6 @@
 IDLE_S = 0.2  # pause between looks at the schedule
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.8  # a store that returns is found within a second
-DOUBT_S = 2.0  # time after a failure for which lapsed entries may return
 
 
 class NewsReader:
@@ -31,10 +30,10 @@
         Returns the live VMs of the data centre.
     freshness : Freshness
         Age of the store's word.
+    doubt : StoreDoubt
+        Told whether the store fails.
     note : callable
         Takes an event name and its inputs, for the log.
-    clock : Clock
-        Source of time.
     sleep : callable
         Lets other tasks run for some seconds.
     source_of_chance : random.Random
@@ -48,8 +47,8 @@
         schedule: ReaderSchedule,
         get_live: Callable[[], list[str]],
         freshness: Freshness,
+        doubt: StoreDoubt,
         note: Callable[..., None],
-        clock: Clock,
         sleep: Callable[[float], None],
         source_of_chance: random.Random,
     ):
@@ -58,14 +57,12 @@
         self._schedule = schedule
         self._get_live = get_live
         self._freshness = freshness
+        self._doubt = doubt
         self._note = note
-        self._clock = clock
         self._sleep = sleep
         self._random = source_of_chance
         self._backoff = FIRST_BACKOFF_S
         self._must_read_all = True
-        self._failed_at: float | None = None
-        self.failing = False
 
     def run(self) -> None:
         """Read for as long as the process runs."""
@@ -75,15 +72,6 @@
             else:
                 self._sleep(IDLE_S)
 
-    def is_doubtful(self) -> bool:
-        """Tell whether the store fails, or failed a moment ago."""
-        if self.failing:
-            return True
-        return (
-            self._failed_at is not None
-            and self._clock.now() - self._failed_at < DOUBT_S
-        )
-
     def read_once(self) -> bool:
         """Read one page, or pause after a failure; tell whether it was read."""
         try:
@@ -122,19 +110,18 @@
 
     def _take_success(self) -> None:
         """Take note that the store has answered."""
-        if self.failing:
+        if self._doubt.failing:
             self._note("platform regained", revision=self._table.revision)
-            self.failing = False
-            self._failed_at = self._clock.now()
+        self._doubt.note_success()
         self._backoff = FIRST_BACKOFF_S
         self._freshness.note(0.0)
 
     def _take_failure(self, failure: SourceFailure) -> None:
         """Take note of a failure and wait before the next call."""
-        if not self.failing:
+        if not self._doubt.failing:
             self._note(
                 "platform lost", revision=self._table.revision, reason=str(failure)
             )
-            self.failing = True
+        self._doubt.note_failure()
         self._sleep(self._backoff * (0.5 + self._random.random()))
         self._backoff = min(LONGEST_BACKOFF_S, self._backoff * 2)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -18,7 +18,7 @@
 from cassiastair.forwarding.latencies import KindLatencies
 from cassiastair.forwarding.repeat_budget import RepeatBounds
 from cassiastair.membership import Freshness, ReaderSchedule, Roster
-from cassiastair.news import NewsReader, NewsSource, NewsTable
+from cassiastair.news import NewsReader, NewsSource, NewsTable, StoreDoubt
 from cassiastair.routing import RoutingTable
 
 from ..drain import Drain
@@ -94,6 +94,7 @@
         """Make what serves callers."""
         settings = self.settings
         self.roster = Roster(self.own, self._clock)
+        self.doubt = StoreDoubt(self._clock)
         self.table = RoutingTable(self._source)
         self.transport = RoutedTransport(
             dialect, self._clock, self._get_connections, self.count_vms
@@ -101,7 +102,7 @@
         self.book = TargetBook(
             self._clock,
             settings.drain,
-            lambda: self.reader.is_doubtful(),
+            self.doubt,
             self.transport.forget,
         )
         bounds = RepeatBounds(
@@ -140,8 +141,8 @@
             ReaderSchedule(self.own.name, self.own.data_centre),
             self.roster.live_locals,
             self.freshness,
+            self.doubt,
             lambda event, **inputs: self.log.warn(event, "", **inputs),
-            self._clock,
             eventlet.sleep,
             self._source,
         )
