Pass the store's changes on between VMs

Change: NewsNode on the links of today (MeshNode holds what both kinds of node share); heartbeats carry revisions, whoever is behind asks for what lies after its own. Readers by rank, three in a data centre. Ruled out: digests as for tickets; the store's one order of changes makes them needless.

--- a/packages/cassiastair/cassiastair/membership/reader_schedule.py
+++ b/packages/cassiastair/cassiastair/membership/reader_schedule.py
@@ -1,6 +1,7 @@
 """Who reads the platform: a few VMs of each data centre, without an election."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from .rendezvous import rank_by_rendezvous
 
@@ -10,6 +11,28 @@
 LONGEST_DELAY_S = 6.0  # within the nine seconds that a ticket may take
 
 
+@dataclass(frozen=True, slots=True)
+class ReaderSteps:
+    """When VMs read, by their rank.
+
+    Parameters
+    ----------
+    always : int
+        VMs of a data centre that read while all is well.
+    first : float
+        Age of the platform's word, in seconds, at which the next rank steps in.
+    step : float
+        Further age for each rank behind it.
+    longest : float
+        Highest age at which the last rank steps in.
+    """
+
+    always: int = ALWAYS_READING
+    first: float = FIRST_STEP_S
+    step: float = STEP_S
+    longest: float = LONGEST_DELAY_S
+
+
 class ReaderSchedule:
     """Decides whether this VM reads the platform now.
 
@@ -23,10 +46,13 @@
         Name of the VM.
     data_centre : str
         Its data centre.
+    steps : ReaderSteps, optional
+        When to read, by rank.
     """
 
-    def __init__(self, own: str, data_centre: str):
+    def __init__(self, own: str, data_centre: str, steps: ReaderSteps | None = None):
         self._own = own
+        self._steps = steps or ReaderSteps()
         self._key = f"reader {data_centre}"
 
     def rank(self, live: Iterable[str]) -> int:
@@ -36,10 +62,11 @@
     def delay(self, live: Iterable[str]) -> float:
         """Return the age of the platform's word, in seconds, at which to read."""
         rank = self.rank(live)
-        if rank < ALWAYS_READING:
+        steps = self._steps
+        if rank < steps.always:
             return 0.0
-        late = FIRST_STEP_S + STEP_S * (rank - ALWAYS_READING)
-        return min(late, LONGEST_DELAY_S)
+        late = steps.first + steps.step * (rank - steps.always)
+        return min(late, steps.longest)
 
     def should_read(self, live: Iterable[str], age: float) -> bool:
         """Tell whether this VM reads the platform now."""
--- a/packages/cassiastair/cassiastair/news/__init__.py
+++ b/packages/cassiastair/cassiastair/news/__init__.py
@@ -2,6 +2,7 @@
 
 from .doubt import StoreDoubt
 from .item import NewsItem
+from .node import NewsNode
 from .reader import NewsReader
 from .source import HistoryGone, NewsPage, NewsSource, SourceFailure
 from .table import NewsTable
@@ -9,6 +10,7 @@
 __all__ = [
     "HistoryGone",
     "NewsItem",
+    "NewsNode",
     "NewsPage",
     "NewsReader",
     "NewsSource",
--- a/packages/cassiastair/cassiastair/news/reader.py
+++ b/packages/cassiastair/cassiastair/news/reader.py
@@ -8,8 +8,9 @@
 from .source import HistoryGone, NewsSource, SourceFailure
 from .table import NewsTable
 
-WATCH_WAIT_S = 2.5  # within the bounds of changes, also when a watch goes silent
-GATHER_S = 0.35  # pause after a change, so that one call brings several
+WATCH_SHARE = 0.8  # wait of a watch over the bound on changes: a silent one is noticed
+GATHER_SHARE = 0.1  # pause after a change over that bound, so one call brings several
+FIRST_WAIT_S = 1.0  # time in which a peer may bring what a new VM would have to read
 IDLE_S = 0.2  # pause between looks at the schedule
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.8  # a store that returns is found within a second
@@ -32,6 +33,10 @@
         Age of the store's word.
     doubt : StoreDoubt
         Told whether the store fails.
+    publish : callable
+        Called with the revision before and the changes after each reading.
+    bound : float
+        Seconds in which changes must be in force everywhere.
     note : callable
         Takes an event name and its inputs, for the log.
     sleep : callable
@@ -48,6 +53,8 @@
         get_live: Callable[[], list[str]],
         freshness: Freshness,
         doubt: StoreDoubt,
+        publish: Callable[[int, list], None],
+        bound: float,
         note: Callable[..., None],
         sleep: Callable[[float], None],
         source_of_chance: random.Random,
@@ -58,14 +65,24 @@
         self._get_live = get_live
         self._freshness = freshness
         self._doubt = doubt
+        self._publish = publish
+        self._wait = WATCH_SHARE * bound
+        self._gather = GATHER_SHARE * bound
         self._note = note
         self._sleep = sleep
         self._random = source_of_chance
         self._backoff = FIRST_BACKOFF_S
-        self._must_read_all = True
 
-    def run(self) -> None:
-        """Read for as long as the process runs."""
+    def run(self, may_wait: bool = False) -> None:
+        """Read for as long as the process runs.
+
+        Parameters
+        ----------
+        may_wait : bool
+            Whether to give peers a moment to bring what is known before reading.
+        """
+        if may_wait:
+            self._sleep(FIRST_WAIT_S)
         while True:
             if self._schedule.should_read(self._get_live(), self._freshness.age):
                 self.read_once()
@@ -74,47 +91,50 @@
 
     def read_once(self) -> bool:
         """Read one page, or pause after a failure; tell whether it was read."""
+        before = self._table.revision
         try:
-            if self._must_read_all and self._table.revision < 0:
-                page = self._source.read_all()
-                news = self._table.replace(page.items, page.revision)
-                self._must_read_all = False
-            else:
-                news = self._watch()
+            news = self._watch() if before >= 0 else self._read_all()
         except HistoryGone:
-            self._note("history gone", revision=self._table.revision)
+            self._note("history gone", revision=before)
             return self._read_again()
         except SourceFailure as failure:
             self._take_failure(failure)
             return False
-        self._take_success()
+        self._take_success(before, news)
         if news:
-            self._sleep(GATHER_S)
+            self._sleep(self._gather)
         return True
 
     def _watch(self) -> list:
         """Wait for changes."""
-        page = self._source.watch(self._table.revision, WATCH_WAIT_S)
+        page = self._source.watch(self._table.revision, self._wait)
         return self._table.merge(page.items, page.revision)
 
+    def _read_all(self) -> list:
+        """Read everything."""
+        page = self._source.read_all()
+        return self._table.replace(page.items, page.revision)
+
     def _read_again(self) -> bool:
         """Read everything, since the changes in between are not kept."""
+        before = self._table.revision
         try:
-            page = self._source.read_all()
+            news = self._read_all()
         except SourceFailure as failure:
             self._take_failure(failure)
             return False
-        self._table.replace(page.items, page.revision)
-        self._take_success()
+        self._take_success(before, news)
         return True
 
-    def _take_success(self) -> None:
-        """Take note that the store has answered."""
+    def _take_success(self, before: int, news: list) -> None:
+        """Take note that the store has answered, and pass on what it said."""
         if self._doubt.failing:
             self._note("platform regained", revision=self._table.revision)
         self._doubt.note_success()
         self._backoff = FIRST_BACKOFF_S
         self._freshness.note(0.0)
+        if news:
+            self._publish(before, news)
 
     def _take_failure(self, failure: SourceFailure) -> None:
         """Take note of a failure and wait before the next call."""
--- a/packages/cassiastair/cassiastair/peers/__init__.py
+++ b/packages/cassiastair/cassiastair/peers/__init__.py
@@ -1,6 +1,7 @@
 """What VMs tell one another: tickets, freshness, members, leaving targets."""
 
 from .link import LinkClosed, PeerLink
+from .mesh_node import MeshNode
 from .messages import (
     Bye,
     Call,
@@ -30,6 +31,7 @@
     "LinkClosed",
     "Marks",
     "Members",
+    "MeshNode",
     "Message",
     "PeerLink",
     "PeerNode",
--- /dev/null
+++ b/packages/cassiastair/cassiastair/peers/mesh_node.py
@@ -0,0 +1,131 @@
+"""A VM among its peers: who they are, and messages on the links to them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..data import Vm
+from ..errors import PeerProtocolError
+from ..membership import Roster
+from .link import LinkClosed, PeerLink
+from .messages import PROTOCOL, Bye, Hello, Members, Message
+
+
+@dataclass(slots=True)
+class PeerCounts:
+    """Counters for the metrics."""
+
+    pushed: int = 0
+    repaired: int = 0
+    repairs: int = 0
+    refused: int = 0
+
+
+class MeshNode(ABC):
+    """Links, members, and the dispatch of messages; what is shared varies.
+
+    Parameters
+    ----------
+    own : Vm
+        This VM.
+    roster : Roster
+        Known VMs.
+
+    Attributes
+    ----------
+    note : callable
+        Takes an event about a link and its inputs, for the log; set by whoever
+        wires the node.
+    """
+
+    def __init__(self, own: Vm, roster: Roster):
+        self.own = own
+        self.roster = roster
+        self.links: dict[str, PeerLink] = {}
+        self.counts = PeerCounts()
+        self.note: Callable[..., None] = lambda event, **inputs: None
+        self._handlers = {
+            Hello: self._take_hello,
+            Members: self._take_members,
+            Bye: self._take_bye,
+        }
+
+    @abstractmethod
+    def beat(self) -> None:
+        """Send a heartbeat on every link."""
+
+    @abstractmethod
+    def _bring_up_to_date(self, link: PeerLink) -> None:
+        """Send a new peer what it may lack."""
+
+    def greet(self, link: PeerLink) -> None:
+        """Send the first message on a new link."""
+        link.send(Hello(PROTOCOL, self.own))
+
+    def handle(self, link: PeerLink, message: Message) -> None:
+        """Take a message from a peer.
+
+        Raises
+        ------
+        PeerProtocolError
+            If the message breaks the protocol; the link is to be closed.
+        """
+        if link.vm is None and not isinstance(message, Hello):
+            raise PeerProtocolError("the first message must be a hello")
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise PeerProtocolError(f"a {type(message).__name__} is not expected")
+        handler(link, message)
+
+    def lost(self, link: PeerLink) -> None:
+        """Take note that a link is closed."""
+        if link.vm is not None and self.links.get(link.vm.name) is link:
+            del self.links[link.vm.name]
+
+    def stop(self) -> None:
+        """Tell peers that this VM is stopping."""
+        self._broadcast(Bye(), None)
+
+    def _broadcast(self, message: Message, source: PeerLink | None) -> None:
+        """Send a message on every link but the one that it came from."""
+        for link in list(self.links.values()):
+            if link is not source:
+                self._send(link, message)
+
+    def _send(self, link: PeerLink, message: Message) -> None:
+        """Send a message; a closed link is dropped."""
+        try:
+            link.send(message)
+        except LinkClosed:
+            self.lost(link)
+
+    def _take_hello(self, link: PeerLink, hello: Hello) -> None:
+        """Take a peer's first message and bring it up to date."""
+        if hello.protocol != PROTOCOL:
+            raise PeerProtocolError(f"protocol {hello.protocol} is not {PROTOCOL}")
+        if hello.vm.name == self.own.name:
+            raise PeerProtocolError(f"a peer bears the name {self.own.name} too")
+        link.vm = hello.vm
+        self.links[hello.vm.name] = link
+        known = self.roster.find(hello.vm.name)
+        self.roster.contact(hello.vm)
+        self._send(link, Members([*self.roster.all(), self.own]))
+        self._bring_up_to_date(link)
+        if known != hello.vm:
+            self._broadcast(Members([hello.vm]), link)
+
+    def _take_members(self, link: PeerLink, frame: Members) -> None:
+        """Take VMs that a peer knows, and pass on the new ones."""
+        news = []
+        for vm in frame.vms:
+            known = self.roster.find(vm.name)
+            if vm.name != self.own.name and known is None:
+                news.append(vm)
+        self.roster.tell(frame.vms)
+        if news:
+            self._broadcast(Members(news), link)
+
+    def _take_bye(self, link: PeerLink, bye: Bye) -> None:
+        """Drop a peer that is stopping."""
+        self.roster.gone(link.vm.name)
+        self.lost(link)
--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -207,6 +207,60 @@
     body: dict
 
 
+@dataclass(frozen=True, slots=True)
+class NewsBeat:
+    """Heartbeat of VMs that follow the platform's store; its size does not grow.
+
+    Parameters
+    ----------
+    revision : int
+        Revision up to which the sender knows everything; -1 for nothing.
+    age : float
+        Seconds since the store confirmed that; -1 for never.
+    failing : bool
+        Whether the store does not answer the sender, who asks it.
+    """
+
+    revision: int
+    age: float
+    failing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NewsChanges:
+    """All changes between two revisions of the store.
+
+    Parameters
+    ----------
+    after : int
+        Revision after which they begin; -1 if these are all items there are.
+    revision : int
+        Revision that they reach.
+    age : float
+        Seconds since the store confirmed the sender's state; -1 for never.
+    items : list
+        For each item its key, its revision and its value, or nothing if removed.
+    """
+
+    after: int
+    revision: int
+    age: float
+    items: list
+
+
+@dataclass(frozen=True, slots=True)
+class NewsWant:
+    """Request for all changes after a revision.
+
+    Parameters
+    ----------
+    after : int
+        Revision up to which the sender knows everything; -1 for nothing.
+    """
+
+    after: int
+
+
 Message = (
     Hello
     | Heartbeat
@@ -220,4 +274,7 @@
     | Bye
     | Call
     | Reply
+    | NewsBeat
+    | NewsChanges
+    | NewsWant
 )
--- a/packages/cassiastair/cassiastair/peers/node.py
+++ b/packages/cassiastair/cassiastair/peers/node.py
@@ -12,7 +12,6 @@
 
 import struct
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from ..data import Ticket, Vm
 from ..errors import PeerProtocolError
@@ -21,19 +20,15 @@
 from ..tickets import Entry, StateMap, describe_state, parse_entry
 from ..tickets.digest import BUCKETS, compare_buckets, hash_buckets
 from ..tickets.parse import make_entry
-from .link import LinkClosed, PeerLink
+from .link import PeerLink
+from .mesh_node import MeshNode
 from .messages import (
-    PROTOCOL,
-    Bye,
     DigestFrame,
     Entries,
     Heartbeat,
-    Hello,
     Leaving,
     LeavingList,
     Marks,
-    Members,
-    Message,
     Want,
 )
 
@@ -42,17 +37,7 @@
 MAX_STAGED = 1_000_000  # entries of one transfer
 
 
-@dataclass(slots=True)
-class PeerCounts:
-    """Counters for the metrics."""
-
-    pushed: int = 0
-    repaired: int = 0
-    repairs: int = 0
-    refused: int = 0
-
-
-class PeerNode:
+class PeerNode(MeshNode):
     """State that peers share, and the answers to their messages.
 
     Parameters
@@ -84,18 +69,14 @@
         advance: Callable[[int], None] = lambda revision: None,
         confirm: Callable[[], None] = lambda: None,
     ):
-        self.own = own
+        super().__init__(own, roster)
         self.state = state
-        self.roster = roster
         self.freshness = freshness
         self.leaving = leaving
-        self.links: dict[str, PeerLink] = {}
-        self.counts = PeerCounts()
         self._get_revision = get_revision
         self._advance = advance
         self._confirm = confirm
-        self._handlers = {
-            Hello: self._take_hello,
+        self._handlers |= {
             Heartbeat: self._take_heartbeat,
             DigestFrame: self._take_digest,
             Marks: self._take_marks,
@@ -103,31 +84,8 @@
             Entries: self._take_entries,
             Leaving: self._take_leaving,
             LeavingList: self._take_leaving_list,
-            Members: self._take_members,
-            Bye: self._take_bye,
         }
 
-    def greet(self, link: PeerLink) -> None:
-        """Send the first message on a new link."""
-        link.send(Hello(PROTOCOL, self.own))
-
-    def handle(self, link: PeerLink, message: Message) -> None:
-        """Take a message from a peer.
-
-        Raises
-        ------
-        PeerProtocolError
-            If the message breaks the protocol; the link is to be closed.
-        """
-        if link.vm is None and not isinstance(message, Hello):
-            raise PeerProtocolError("the first message must be a hello")
-        self._handlers[type(message)](link, message)
-
-    def lost(self, link: PeerLink) -> None:
-        """Take note that a link is closed."""
-        if link.vm is not None and self.links.get(link.vm.name) is link:
-            del self.links[link.vm.name]
-
     def publish(self, ticket: Ticket) -> None:
         """Merge a ticket read from the platform and push it if it was news."""
         if self.state.apply(ticket):
@@ -154,46 +112,18 @@
         )
         self._broadcast(heartbeat, None)
 
-    def stop(self) -> None:
-        """Tell peers that this VM is stopping."""
-        self._broadcast(Bye(), None)
-
-    def _broadcast(self, message: Message, source: PeerLink | None) -> None:
-        """Send a message on every link but the one that it came from."""
-        for link in list(self.links.values()):
-            if link is not source:
-                self._send(link, message)
-
-    def _send(self, link: PeerLink, message: Message) -> None:
-        """Send a message; a closed link is dropped."""
-        try:
-            link.send(message)
-        except LinkClosed:
-            self.lost(link)
-
     def _push(self, entries: list[Entry], source: PeerLink | None) -> None:
         """Push a whole ticket."""
         self.counts.pushed += 1
         message = Entries([describe_entry(e) for e in entries], False, True)
         self._broadcast(message, source)
 
-    def _take_hello(self, link: PeerLink, hello: Hello) -> None:
-        """Take a peer's first message and bring it up to date."""
-        if hello.protocol != PROTOCOL:
-            raise PeerProtocolError(f"protocol {hello.protocol} is not {PROTOCOL}")
-        if hello.vm.name == self.own.name:
-            raise PeerProtocolError(f"a peer bears the name {self.own.name} too")
-        link.vm = hello.vm
-        self.links[hello.vm.name] = link
-        known = self.roster.find(hello.vm.name)
-        self.roster.contact(hello.vm)
-        self._send(link, Members([*self.roster.all(), self.own]))
+    def _bring_up_to_date(self, link: PeerLink) -> None:
+        """Send a new peer what it may not know of targets that leave."""
         marks = [[mark.target, mark.incarnation] for mark in self.leaving.all()]
         if marks:
             self._send(link, Leaving(marks))
         self._send_list(link)
-        if known != hello.vm:
-            self._broadcast(Members([hello.vm]), link)
 
     def _send_list(self, link: PeerLink) -> None:
         """Send the platform's list of leaving targets, if there is one."""
@@ -306,22 +236,6 @@
         if self.leaving.note_list(frame.revision, frame.targets):
             self._broadcast(frame, link)
 
-    def _take_members(self, link: PeerLink, frame: Members) -> None:
-        """Take VMs that a peer knows, and pass on the new ones."""
-        news = []
-        for vm in frame.vms:
-            known = self.roster.find(vm.name)
-            if vm.name != self.own.name and known is None:
-                news.append(vm)
-        self.roster.tell(frame.vms)
-        if news:
-            self._broadcast(Members(news), link)
-
-    def _take_bye(self, link: PeerLink, bye: Bye) -> None:
-        """Drop a peer that is stopping."""
-        self.roster.gone(link.vm.name)
-        self.lost(link)
-
 
 def describe_entry(entry: Entry) -> list:
     """Return the plain form of an entry."""
--- a/packages/cassiastair/cassiastair/peers/node_test.py
+++ b/packages/cassiastair/cassiastair/peers/node_test.py
@@ -13,7 +13,7 @@
 from ..membership import Freshness, LeavingTargets, Roster, choose_links
 from ..membership.leaving import LeavingMark
 from ..tickets import StateMap
-from . import node as node_module
+from . import messages
 from .link import PeerLink
 from .messages import Entries, Heartbeat, Hello, Marks
 from .node import PeerNode
@@ -327,7 +327,7 @@
 
     def test_other_protocol_and_own_name(self):
         self.refuses(Hello(99, self.network.nodes["vm1"].own))
-        self.refuses(Hello(node_module.PROTOCOL, self.node.own))
+        self.refuses(Hello(messages.PROTOCOL, self.node.own))
 
     def test_malformed_entries_apply_nothing(self):
         self.link.vm = self.network.nodes["vm1"].own
--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -116,6 +116,7 @@
             advance=lambda revision: self.reader.advance(revision),
             confirm=self.pauses.confirm,
         )
+        self.node.note = logger.info
 
     def _wire_targets(self) -> None:
         """Make what speaks with targets and decides on them."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -17,12 +17,25 @@
 from cassiastair.forwarding.choice import RoutedChooser
 from cassiastair.forwarding.latencies import KindLatencies
 from cassiastair.forwarding.repeat_budget import RepeatBounds
-from cassiastair.membership import Freshness, ReaderSchedule, Roster
-from cassiastair.news import NewsReader, NewsSource, NewsTable, StoreDoubt
+from cassiastair.membership import (
+    Freshness,
+    ReaderSchedule,
+    ReaderSteps,
+    Roster,
+)
+from cassiastair.news import (
+    NewsNode,
+    NewsReader,
+    NewsSource,
+    NewsTable,
+    StoreDoubt,
+)
 from cassiastair.routing import RoutingTable
 
 from ..drain import Drain
 from ..heap import Heap
+from ..peers import LinkKeeper, PeerServer
+from ..peers.forwarding import Forwarder as CallForwarder
 from .boot_clock import BootClock
 from .caller_server import CallerServer
 from .dialect import Dialect
@@ -38,7 +51,14 @@
 TEND_S = 0.5  # interval of looks at leaving targets and the heap
 LEAST_VMS = 7  # VMs assumed to share bounds until more are known
 DEFAULT_CONNECTIONS = 16  # connections of a target whose service states no limit
+READERS = 3  # VMs of a data centre that read the store while all is well
+STEP_IN_SHARE = 0.6  # age of the store's word over the bound at which others read
+STEP_S = 0.4  # further age for each rank
+LONGEST_STEP_S = 8.0  # age at which the last rank reads; an isolated VM has rank 0
+LOCAL_DEGREE = 4  # links inside the data centre: two rings
+CROSS_DEGREE = 2  # links to other data centres: one ring
 STOP_SHARE = 0.5  # part of the grace for which new connections are taken
+FLUSH_S = 0.05  # time for a last word to peers
 END_MARGIN_S = 0.4  # time before the end of the grace at which work is given up
 
 
@@ -77,6 +97,7 @@
             eventlet.listen(address, backlog=BACKLOG)
             for address in (settings.caller_address, settings.ready_address)
         ]
+        self._peer_server = PeerServer(*settings.peer_address)
 
     def _make_own(self) -> Vm:
         """Return this VM with a new incarnation."""
@@ -135,13 +156,30 @@
         self.intake = NewsIntake(decoder, self.table, self.book, self.log)
         self.news = NewsTable(self.intake.take)
         self.freshness = Freshness(self._clock)
+        self.node = NewsNode(
+            self.own, self.roster, self.news, self.freshness, self.doubt
+        )
+        self.node.note = lambda event, **inputs: self.log.warn(event, "", **inputs)
+        self.forwarder = CallForwarder(refuse_call)
+        self.keeper = LinkKeeper(
+            self.node,
+            self.forwarder,
+            self.settings.peers,
+            LOCAL_DEGREE,
+            CROSS_DEGREE,
+            self._clock,
+        )
+        bound = min(self.settings.drain, self.settings.apply)
+        steps = ReaderSteps(READERS, STEP_IN_SHARE * bound, STEP_S, LONGEST_STEP_S)
         self.reader = NewsReader(
             store,
             self.news,
-            ReaderSchedule(self.own.name, self.own.data_centre),
+            ReaderSchedule(self.own.name, self.own.data_centre, steps),
             self.roster.live_locals,
             self.freshness,
             self.doubt,
+            self.node.publish,
+            bound,
             lambda event, **inputs: self.log.warn(event, "", **inputs),
             eventlet.sleep,
             self._source,
@@ -171,16 +209,23 @@
     def start(self) -> None:
         """Start every task; returns at once."""
         callers, questions = self._listeners
+        self._peer_server.start(self.node, self.forwarder)
         ready = ReadyServer(self.is_ready, self.render_metrics)
         for task, *inputs in (
             (self.server.run, callers),
             (ready.run, questions),
-            (self.reader.run,),
+            (self.keeper.run,),
+            (self.reader.run, self._may_wait()),
             (self._tend,),
         ):
             eventlet.spawn_n(self._run_task, task, *inputs)
         self.log.warn("started", "", incarnation=self.own.incarnation, pid=os.getpid())
 
+    def _may_wait(self) -> bool:
+        """Tell whether peers may bring what is known before this VM reads."""
+        peers = self.settings.peers
+        return bool(peers) and self.settings.peer_address not in peers
+
     def _run_task(self, task, *inputs) -> None:
         """Run a task that must not end; log what ended it."""
         try:
@@ -209,6 +254,7 @@
         self.settings = replace(
             self.settings, peers=settings.peers, grace=settings.grace
         )
+        self.keeper.set_seeds(settings.peers)
         self.log.warn("settings read", "", peers=len(settings.peers))
 
     def stop(self) -> bool:
@@ -224,5 +270,12 @@
                 break
             eventlet.sleep(0.02)
         whole = not self.drain.in_progress
+        self.node.stop()
+        eventlet.sleep(FLUSH_S)
         self.log.warn("stopped", "", in_progress=self.drain.in_progress)
         return whole
+
+
+def refuse_call(call) -> tuple[int, dict]:
+    """Answer a forwarded write, which VMs of this kind do not take."""
+    return 404, {}
--- a/packages/cassiastaird/cassiastaird/peers/codec.py
+++ b/packages/cassiastaird/cassiastaird/peers/codec.py
@@ -22,6 +22,9 @@
     messages.Bye,
     messages.Call,
     messages.Reply,
+    messages.NewsBeat,
+    messages.NewsChanges,
+    messages.NewsWant,
 )  # the position is the number on the wire: only add at the end
 NUMBERS = {kind: number for number, kind in enumerate(TYPES)}
 FIELDS = {kind: [item.name for item in fields(kind)] for kind in TYPES}
--- a/packages/cassiastaird/cassiastaird/peers/keeper.py
+++ b/packages/cassiastaird/cassiastaird/peers/keeper.py
@@ -3,8 +3,7 @@
 import eventlet
 from cassiastair.clock import Clock
 from cassiastair.membership import choose_links
-from cassiastair.peers import PeerNode
-from loguru import logger
+from cassiastair.peers import MeshNode
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
 
@@ -24,7 +23,7 @@
 
     Parameters
     ----------
-    node : PeerNode
+    node : MeshNode
         This VM among its peers.
     forwarder : Forwarder
         Takes calls and replies.
@@ -37,7 +36,7 @@
     """
 
     def __init__(
-        self, node: PeerNode, forwarder: Forwarder, seeds, degree, cross, clock
+        self, node: MeshNode, forwarder: Forwarder, seeds, degree, cross, clock
     ):
         self._node = node
         self._forwarder = forwarder
@@ -50,6 +49,10 @@
         self._wanted_for = -1
         self._wanted_since: dict[str, float] = {}
 
+    def set_seeds(self, seeds) -> None:
+        """Take other addresses of peers."""
+        self._seeds = list(seeds)
+
     def run(self) -> None:
         """Tick for as long as the process runs."""
         while True:
@@ -143,6 +146,6 @@
             now = self._clock.now()
             WebsocketLink(websocket, self._node, self._forwarder, now).run()
         except (OSError, TimeoutError, WebSocketException) as error:
-            logger.debug("dial failed", host=host, port=port, reason=repr(error))
+            self._node.note("dial failed", host=host, port=port, reason=repr(error))
         finally:
             self._dialling.discard((host, port))
--- a/packages/cassiastaird/cassiastaird/peers/server.py
+++ b/packages/cassiastaird/cassiastaird/peers/server.py
@@ -3,7 +3,7 @@
 import logging
 
 import eventlet
-from cassiastair.peers import PeerNode
+from cassiastair.peers import MeshNode
 from websockets.sync.server import serve
 
 from .codec import MAX_FRAME_BYTES
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, host: str, port: int):
-        self._node: PeerNode | None = None
+        self._node: MeshNode | None = None
         self._forwarder: Forwarder | None = None
         self._server = serve(
             self._run_link,
@@ -38,7 +38,7 @@
         )
         self.port = self._server.socket.getsockname()[1]
 
-    def start(self, node: PeerNode, forwarder: Forwarder) -> None:
+    def start(self, node: MeshNode, forwarder: Forwarder) -> None:
         """Begin to accept links."""
         self._node = node
         self._forwarder = forwarder
--- a/packages/cassiastaird/cassiastaird/peers/websocket_link.py
+++ b/packages/cassiastaird/cassiastaird/peers/websocket_link.py
@@ -2,9 +2,8 @@
 
 import eventlet
 from cassiastair.errors import PeerProtocolError
-from cassiastair.peers import Call, LinkClosed, Message, PeerLink, PeerNode, Reply
+from cassiastair.peers import Call, LinkClosed, MeshNode, Message, PeerLink, Reply
 from eventlet.queue import Full, LightQueue
-from loguru import logger
 from websockets.exceptions import ConnectionClosed
 
 from .codec import decode, encode
@@ -21,7 +20,7 @@
     ----------
     websocket : websockets.sync.connection.Connection
         An open connection.
-    node : PeerNode
+    node : MeshNode
         Takes the peer's messages.
     forwarder : Forwarder
         Takes calls and replies.
@@ -32,7 +31,7 @@
     def __init__(
         self,
         websocket,
-        node: PeerNode,
+        node: MeshNode,
         forwarder: Forwarder,
         dialled_at: float | None = None,
     ):
@@ -118,4 +117,4 @@
     def _log(self, event: str, error: Exception) -> None:
         """Log the end of the link."""
         peer = self.vm.name if self.vm else "?"
-        logger.info(event, peer=peer, reason=repr(error))
+        self._node.note(event, peer=peer, reason=repr(error))
