Try silent targets by connections; refuse and be unready when too few are in reach

Cause: in a zone cut each request found out anew that targets were silent: 504 after the whole deadline, hedges spent, callers kept at VMs without targets. Change: TargetProber, Reach, refusal at once when too few shards are in reach, Connection: close while not ready. Ruled out: trusting the outage's length; turned-away VMs learn of removals by peers.

--- a/packages/cassiastair/cassiastair/forwarding/book.py
+++ b/packages/cassiastair/cassiastair/forwarding/book.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from ..news.doubt import StoreDoubt
 from .evidence import RoutedEvidence
 from .routed_target import RoutedTarget
 
-RETURN_S = 2.2  # the platform's two seconds for the return of lost entries, and news
-RETURN_SHARE = 0.75  # highest part of the drain bound that this may take
-LAST_RESORT_SHARE = 0.5  # part of the drain bound in which a leaver may still be asked
+# Part of the drain bound in which a leaver may still be asked. With the time that
+# news takes it stays within the bound; entries that lapsed while targets could not
+# reach the platform are back within about two seconds.
+LAST_RESORT_SHARE = 0.75
 
 
 class TargetBook:
@@ -17,9 +17,8 @@
 
     A target that drains or whose entry is gone gets no work while its service has
     another one. If it has none, such a target stays the last resort for a part of
-    the drain bound. Entries may also lapse because targets could not reach the
-    platform; while it fails, and for the time in which entries return afterwards,
-    lapsed targets therefore stay the last resort.
+    the drain bound: entries may also lapse because targets could not reach the
+    platform, and return soon.
 
     Parameters
     ----------
@@ -27,8 +26,6 @@
         Source of time.
     drain : float
         Seconds after which a leaving target must not get requests.
-    doubt : StoreDoubt
-        Tells whether the platform fails, or failed a moment ago.
     forget : callable
         Called with each target that is not asked any more.
     """
@@ -37,13 +34,10 @@
         self,
         clock: Clock,
         drain: float,
-        doubt: StoreDoubt,
         forget: Callable[[RoutedTarget], None],
     ):
         self._clock = clock
         self._last_resort = drain * LAST_RESORT_SHARE
-        self._doubt = doubt
-        self._return = min(RETURN_S, RETURN_SHARE * drain)
         self._forget = forget
         self._live: dict[str, RoutedEvidence] = {}
         self._by_service: dict[str, list[RoutedEvidence]] = {}
@@ -91,8 +85,7 @@
         if known is None:
             return
         self._drop(known)
-        lasting = self._return if self._doubt.is_recent() else self._last_resort
-        self._keep(known, self._clock.now() + lasting)
+        self._keep(known, self._clock.now() + self._last_resort)
 
     def _drop(self, evidence: RoutedEvidence) -> None:
         """Take a target out of the lists."""
@@ -119,6 +112,22 @@
         now = self._clock.now()
         return [evidence for evidence, until in leaving.values() if now < until]
 
+    def can_reach(self, service: str) -> bool:
+        """Tell whether a target of a service can be asked with a chance."""
+        return any(not e.unreachable for e in self.candidates(service))
+
+    def suspects(self, now: float, silence: float) -> list[RoutedEvidence]:
+        """Return the targets that may be out of reach.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        silence : float
+            Seconds without an answer after which a target is suspect.
+        """
+        return [e for e in self._live.values() if e.is_suspect(now, silence)]
+
     def find(self, name: str) -> RoutedEvidence | None:
         """Return a target that may get work."""
         return self._live.get(name)
@@ -130,12 +139,9 @@
     def tend(self) -> None:
         """Forget leavers whose time is over; called about once a second."""
         now = self._clock.now()
-        failing = self._doubt.is_present()
         for service, leaving in list(self._leaving.items()):
             for name, (evidence, until) in list(leaving.items()):
-                if failing and not evidence.target.draining:
-                    leaving[name] = (evidence, max(until, now + self._return))
-                elif now >= until:
+                if now >= until:
                     del leaving[name]
                     self._forget(evidence.target)
             if not leaving:
--- a/packages/cassiastair/cassiastair/forwarding/choice.py
+++ b/packages/cassiastair/cassiastair/forwarding/choice.py
@@ -49,10 +49,14 @@
         sound = [
             c
             for c in candidates
-            if c.avoid_until <= now and not c.is_stalled(now, patience)
+            if c.avoid_until <= now
+            and not c.unreachable
+            and not c.is_stalled(now, patience)
         ]
         if not sound:
-            return min(candidates, key=lambda c: (c.avoid_until, c.in_flight))
+            return min(
+                candidates, key=lambda c: (c.unreachable, c.avoid_until, c.in_flight)
+            )
         if len(sound) == 1:
             return sound[0]
         odds = [1.0 / self._estimate(c) ** SHARPNESS for c in sound]
--- a/packages/cassiastair/cassiastair/forwarding/evidence.py
+++ b/packages/cassiastair/cassiastair/forwarding/evidence.py
@@ -6,6 +6,7 @@
 FAILURE_PAUSE_S = 0.3  # first pause after a failed connection; doubles
 LONGEST_PAUSE_S = 2.0  # highest pause, so a target that returns is found soon
 COLD_FACTOR = 1.6  # expected slowness of a target that has just started
+DOWN_AFTER = 2  # failures in a row after which a target is tried for itself
 SLOWEST = 12.0  # ratio at which a target's slowness is cut, so that it is tried
 
 
@@ -27,6 +28,7 @@
         "failures",
         "avoid_until",
         "answered_at",
+        "unreachable",
         "_started",
     )
 
@@ -36,6 +38,7 @@
         self.failures = 0
         self.avoid_until = 0.0
         self.answered_at = 0.0
+        self.unreachable = False
         self._started: dict[object, float] = {}
 
     @property
@@ -63,6 +66,7 @@
         """
         self.failures = 0
         self.avoid_until = 0.0
+        self.unreachable = False
         self.answered_at = now
         self.slowness += SMOOTHING * (min(ratio, SLOWEST) - self.slowness)
 
@@ -77,6 +81,25 @@
         self.failures += 1
         self.avoid_until = now + pause
 
+    def reached(self) -> None:
+        """Take note that a connection could be opened; answers may still lack."""
+        self.unreachable = False
+        self.failures = min(self.failures, 1)
+        self.avoid_until = 0.0
+
+    def lost(self, now: float) -> None:
+        """Take note that no connection could be opened."""
+        self.unreachable = True
+        self.failed(now)
+
+    def is_suspect(self, now: float, silence: float) -> bool:
+        """Tell whether it is in doubt that the target can be reached."""
+        return (
+            self.unreachable
+            or self.failures >= DOWN_AFTER
+            or self.is_stalled(now, silence)
+        )
+
     def is_stalled(self, now: float, patience: float) -> bool:
         """Tell whether a send has waited long while nothing else was answered."""
         if not self._started:
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -96,11 +96,11 @@
 
     def _check_targets(self) -> None:
         """Refuse at once what the known targets cannot serve."""
-        find = self._parts.book.candidates
-        served = sum(1 for shard in self._shards if find(shard.service))
+        reach = self._parts.book.can_reach
+        served = sum(1 for shard in self._shards if reach(shard.service))
         if served < self._needed:
             total = len(self._shards)
-            message = f"{served} of {total} shards have targets, needed {self._needed}"
+            message = f"{served} of {total} shards in reach, needed {self._needed}"
             raise NoTargetError(message, RETRY_AFTER_S)
 
     def _is_over(self) -> bool:
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -62,8 +62,8 @@
         DeadlineError, RunUnknownError
             If it may have run.
         """
-        if not self._parts.book.candidates(self._service):
-            raise NoTargetError(f"{self._service} has no target", RETRY_AFTER_S)
+        if not self._parts.book.can_reach(self._service):
+            raise NoTargetError(f"no target of {self._service} in reach", RETRY_AFTER_S)
         self._parts.budget.note_request(self._service)
         try:
             self._send("first")
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -65,6 +65,10 @@
     def has_room(self, target: RoutedTarget) -> bool:
         """Tell whether a request to a target need not wait for a connection."""
 
+    @abstractmethod
+    def probe(self, target: RoutedTarget) -> bool:
+        """Open a connection to a target; tell whether that succeeded."""
+
     @abstractmethod
     def forget(self, target: RoutedTarget) -> None:
         """Close the idle connections of a target that is gone."""
--- a/packages/cassiastair/cassiastair/news/__init__.py
+++ b/packages/cassiastair/cassiastair/news/__init__.py
@@ -1,6 +1,5 @@
 """The platform's word: what it publishes, how it is read and passed on."""
 
-from .doubt import StoreDoubt
 from .item import NewsItem
 from .node import NewsNode
 from .reader import NewsReader
@@ -16,5 +15,4 @@
     "NewsSource",
     "NewsTable",
     "SourceFailure",
-    "StoreDoubt",
 ]
--- a/packages/cassiastair/cassiastair/news/node.py
+++ b/packages/cassiastair/cassiastair/news/node.py
@@ -12,7 +12,6 @@
 from ..peers.link import PeerLink
 from ..peers.mesh_node import MeshNode
 from ..peers.messages import NewsBeat, NewsChanges, NewsWant
-from .doubt import StoreDoubt
 from .item import NewsItem
 from .table import NewsTable
 
@@ -32,8 +31,6 @@
         What the store has published.
     freshness : Freshness
         Age of the store's word.
-    doubt : StoreDoubt
-        Whether the store fails, here or at a peer.
     """
 
     def __init__(
@@ -42,12 +39,10 @@
         roster: Roster,
         table: NewsTable,
         freshness: Freshness,
-        doubt: StoreDoubt,
     ):
         super().__init__(own, roster)
         self.table = table
         self.freshness = freshness
-        self.doubt = doubt
         self._handlers |= {
             NewsBeat: self._take_beat,
             NewsChanges: self._take_changes,
@@ -73,7 +68,7 @@
 
     def _make_beat(self) -> NewsBeat:
         """Return the heartbeat of this moment."""
-        return NewsBeat(self.table.revision, self._state_age(), self.doubt.failing)
+        return NewsBeat(self.table.revision, self._state_age())
 
     def _state_age(self) -> float:
         """Return the age of the store's word as it is sent."""
@@ -92,8 +87,6 @@
     def _take_beat(self, link: PeerLink, beat: NewsBeat) -> None:
         """Ask for changes if the peer knows more; else take its age."""
         self.roster.contact(link.vm)
-        if beat.failing:
-            self.doubt.note_report()
         if beat.revision > self.table.revision:
             self.counts.repairs += 1
             self._send(link, NewsWant(self.table.revision))
--- a/packages/cassiastair/cassiastair/news/reader.py
+++ b/packages/cassiastair/cassiastair/news/reader.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from ..membership import Freshness, ReaderSchedule
-from .doubt import StoreDoubt
 from .source import HistoryGone, NewsSource, SourceFailure
 from .table import NewsTable
 
@@ -31,8 +30,6 @@
         Returns the live VMs of the data centre.
     freshness : Freshness
         Age of the store's word.
-    doubt : StoreDoubt
-        Told whether the store fails.
     publish : callable
         Called with the revision before and the changes after each reading.
     bound : float
@@ -52,7 +49,6 @@
         schedule: ReaderSchedule,
         get_live: Callable[[], list[str]],
         freshness: Freshness,
-        doubt: StoreDoubt,
         publish: Callable[[int, list], None],
         bound: float,
         note: Callable[..., None],
@@ -64,7 +60,6 @@
         self._schedule = schedule
         self._get_live = get_live
         self._freshness = freshness
-        self._doubt = doubt
         self._publish = publish
         self._wait = WATCH_SHARE * bound
         self._gather = GATHER_SHARE * bound
@@ -72,6 +67,7 @@
         self._sleep = sleep
         self._random = source_of_chance
         self._backoff = FIRST_BACKOFF_S
+        self.failing = False
 
     def run(self, may_wait: bool = False) -> None:
         """Read for as long as the process runs.
@@ -128,9 +124,9 @@
 
     def _take_success(self, before: int, news: list) -> None:
         """Take note that the store has answered, and pass on what it said."""
-        if self._doubt.failing:
+        if self.failing:
             self._note("platform regained", revision=self._table.revision)
-        self._doubt.note_success()
+        self.failing = False
         self._backoff = FIRST_BACKOFF_S
         self._freshness.note(0.0)
         if news:
@@ -138,10 +134,10 @@
 
     def _take_failure(self, failure: SourceFailure) -> None:
         """Take note of a failure and wait before the next call."""
-        if not self._doubt.failing:
+        if not self.failing:
             self._note(
                 "platform lost", revision=self._table.revision, reason=str(failure)
             )
-        self._doubt.note_failure()
+        self.failing = True
         self._sleep(self._backoff * (0.5 + self._random.random()))
         self._backoff = min(LONGEST_BACKOFF_S, self._backoff * 2)
--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -217,13 +217,10 @@
         Revision up to which the sender knows everything; -1 for nothing.
     age : float
         Seconds since the store confirmed that; -1 for never.
-    failing : bool
-        Whether the store does not answer the sender, who asks it.
     """
 
     revision: int
     age: float
-    failing: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -1,5 +1,7 @@
 """Accepts callers' connections and keeps them within their limits of time."""
 
+from collections.abc import Callable
+
 import eventlet
 from cassiastair.errors import CassiastairError, MalformedRequestError
 from cassiastair.forwarding import DecisionLog, Forwarder
@@ -34,6 +36,8 @@
         Takes refusals and failures.
     counts : RequestCounts
         Counters and latencies for the metrics.
+    is_ready : callable
+        Tells whether this VM takes work.
     clock : Clock
         Source of time.
     """
@@ -46,6 +50,7 @@
         drain: Drain,
         decisions: DecisionLog,
         counts: RequestCounts,
+        is_ready: Callable[[], bool],
         clock,
     ):
         self._forwarder = forwarder
@@ -54,6 +59,7 @@
         self._drain = drain
         self._decisions = decisions
         self._counts = counts
+        self._is_ready = is_ready
         self.clock = clock
         self._connections: set[CallerConnection] = set()
         self._listener = None
@@ -64,8 +70,12 @@
         return self._table.limits
 
     def is_stopping(self) -> bool:
-        """Tell whether connections are to be closed after their answers."""
-        return self._drain.draining
+        """Tell whether connections are to be closed after their answers.
+
+        A caller whose connection is closed comes back through the platform, which
+        sends it to a VM that is ready.
+        """
+        return self._drain.draining or not self._is_ready()
 
     def closed(self, connection: object) -> None:
         """Forget a connection that has ended."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -16,6 +16,8 @@
 )
 from cassiastair.forwarding.choice import RoutedChooser
 from cassiastair.forwarding.latencies import KindLatencies
+from cassiastair.forwarding.prober import TargetProber
+from cassiastair.forwarding.reach import Reach
 from cassiastair.forwarding.repeat_budget import RepeatBounds
 from cassiastair.membership import (
     Freshness,
@@ -28,7 +30,6 @@
     NewsReader,
     NewsSource,
     NewsTable,
-    StoreDoubt,
 )
 from cassiastair.routing import RoutingTable
 
@@ -115,7 +116,6 @@
         """Make what serves callers."""
         settings = self.settings
         self.roster = Roster(self.own, self._clock)
-        self.doubt = StoreDoubt(self._clock)
         self.table = RoutingTable(self._source)
         self.transport = RoutedTransport(
             dialect, self._clock, self._get_connections, self.count_vms
@@ -123,7 +123,6 @@
         self.book = TargetBook(
             self._clock,
             settings.drain,
-            self.doubt,
             self.transport.forget,
         )
         bounds = RepeatBounds(
@@ -140,6 +139,14 @@
             clock=self._clock,
         )
         self.parts = parts
+        self.prober = TargetProber(
+            self.book,
+            self.transport.probe,
+            eventlet.spawn_n,
+            eventlet.sleep,
+            self._clock,
+        )
+        self.reach = Reach(self.table, self.book)
         self.server = CallerServer(
             Forwarder(parts),
             self.table,
@@ -147,6 +154,7 @@
             self.drain,
             self.log,
             self.counts,
+            self.is_ready,
             self._clock,
         )
 
@@ -156,9 +164,7 @@
         self.intake = NewsIntake(decoder, self.table, self.book, self.log)
         self.news = NewsTable(self.intake.take)
         self.freshness = Freshness(self._clock)
-        self.node = NewsNode(
-            self.own, self.roster, self.news, self.freshness, self.doubt
-        )
+        self.node = NewsNode(self.own, self.roster, self.news, self.freshness)
         self.node.note = lambda event, **inputs: self.log.warn(event, "", **inputs)
         self.forwarder = CallForwarder(refuse_call)
         self.keeper = LinkKeeper(
@@ -177,7 +183,6 @@
             ReaderSchedule(self.own.name, self.own.data_centre, steps),
             self.roster.live_locals,
             self.freshness,
-            self.doubt,
             self.node.publish,
             bound,
             lambda event, **inputs: self.log.warn(event, "", **inputs),
@@ -200,7 +205,7 @@
         """Tell whether this VM takes work."""
         if self.drain.draining or self.table.configuration is None:
             return False
-        return len(self.book) > 0
+        return len(self.book) > 0 and self.reach.is_enough()
 
     def render_metrics(self) -> bytes:
         """Return the metrics page."""
@@ -216,6 +221,7 @@
             (ready.run, questions),
             (self.keeper.run,),
             (self.reader.run, self._may_wait()),
+            (self.prober.run,),
             (self._tend,),
         ):
             eventlet.spawn_n(self._run_task, task, *inputs)
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -20,6 +20,7 @@
 IDLE_SHARE = 0.7  # part of a target's idle time-out for which a connection is used
 ONCE_IDLE_S = 1.0  # the same for requests that must not run twice, at most
 LEAST_LEFT_S = 0.002  # time below which a send cannot be answered any more
+PROBE_TIMEOUT_S = 0.3  # many times the way to any data centre of a region and back
 FEWEST_CONNECTIONS = 2  # one to send on while another is held by a slow answer
 
 
@@ -164,6 +165,18 @@
         pool = self._pools.get(target.name)
         return pool is None or pool.has_room
 
+    def probe(self, target: RoutedTarget) -> bool:
+        """Open a connection, and keep it if there is room."""
+        pool = self._find_pool(target)
+        try:
+            connection = TargetConnection(
+                target.host, target.port, self._clock, PROBE_TIMEOUT_S
+            )
+        except OSError:
+            return False
+        pool.adopt(connection)
+        return True
+
     def forget(self, target: RoutedTarget) -> None:
         """Close the idle connections of a target that is gone."""
         pool = self._pools.get(target.name)
--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -9,7 +9,7 @@
 
 from .reply_reader import ReplyReader
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 SILENCE_MS = 3000  # unacknowledged bytes after which the system closes a connection
 RECEIVE_BYTES = 65_536
 PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -31,6 +31,8 @@
         TCP port.
     clock : Clock
         Source of time.
+    timeout : float, optional
+        Seconds for the connection to open.
 
     Raises
     ------
@@ -50,8 +52,10 @@
         "_waiter",
     )
 
-    def __init__(self, host: str, port: int, clock: Clock):
-        self._sock = open_socket(host, port)
+    def __init__(
+        self, host: str, port: int, clock: Clock, timeout: float = CONNECT_TIMEOUT_S
+    ):
+        self._sock = open_socket(host, port, timeout)
         self._raw = self._sock.fd
         self._waiter = None
         self._dropped = False
@@ -166,7 +170,7 @@
         self._sock.close()
 
 
-def open_socket(host: str, port: int) -> socket.socket:
+def open_socket(host: str, port: int, timeout: float) -> socket.socket:
     """Return a connected socket without a time limit on reads and writes.
 
     The task that waits is bounded by its deadline, so no timer for each read.
@@ -181,7 +185,7 @@
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
-        sock.settimeout(CONNECT_TIMEOUT_S)
+        sock.settimeout(timeout)
         sock.connect((host, port))
         sock.settimeout(None)
     except BaseException:
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -111,6 +111,14 @@
         else:
             connection.close()
 
+    def adopt(self, connection: TargetConnection) -> None:
+        """Keep a connection that was opened elsewhere, if there is room for it."""
+        if self.size < self._limit.current:
+            self.opened += 1
+            self._idle.append(connection)
+        else:
+            connection.close()
+
     def discard(self, connection: TargetConnection) -> None:
         """Close a connection whose answer did not come whole."""
         connection.close()
