--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/book_test.py
@@ -0,0 +1,183 @@
+"""Tests of the target book, the choice, the prober, and reach."""
+
+import random
+
+from testtools import TestCase
+
+from ..clock import ManualClock
+from ..testing.forwarding_bench import (
+    DRAIN_S,
+    ForwardingBench,
+    make_search_route,
+    make_single_route,
+    make_target,
+)
+from .book import TargetBook
+from .choice import RoutedChooser
+from .evidence import RoutedEvidence
+from .prober import TargetProber
+from .reach import Reach
+
+
+class TestTargetBook(TestCase):
+    """Targets that come, drain, vanish, and return."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.forgotten = []
+        self.book = TargetBook(self.clock, DRAIN_S, self.forgotten.append)
+
+    def names(self, service: str = "s") -> list[str]:
+        """Return the targets that may be asked."""
+        return [e.target.name for e in self.book.candidates(service)]
+
+    def test_a_leaver_gets_nothing_while_another_remains(self):
+        self.book.put(make_target("a", "s"))
+        self.book.put(make_target("b", "s"))
+        self.book.put(make_target("a", "s", draining=True))
+        assert self.names() == ["b"]
+        self.book.remove("b")
+        assert sorted(self.names()) == ["a", "b"]
+
+    def test_the_last_resort_ends_within_the_drain_bound(self):
+        self.book.put(make_target("a", "s"))
+        self.book.remove("a")
+        assert self.names() == ["a"]
+        self.clock.advance(DRAIN_S - 0.7)
+        assert self.names() == []
+        self.book.tend()
+        assert [target.name for target in self.forgotten] == ["a"]
+
+    def test_an_entry_that_returns_keeps_its_evidence(self):
+        self.book.put(make_target("a", "s"))
+        self.book.find("a").slowness = 5.0
+        self.book.remove("a")
+        self.clock.advance(1.0)
+        self.book.put(make_target("a", "s"))
+        assert self.book.find("a").slowness == 5.0
+
+    def test_another_run_under_the_name_starts_anew(self):
+        self.book.put(make_target("a", "s"))
+        self.book.find("a").lost(self.clock.now())
+        self.book.put(make_target("a", "s", started_ms=2))
+        assert not self.book.find("a").unreachable
+        assert len(self.forgotten) == 1
+
+    def test_a_target_that_changes_its_service(self):
+        self.book.put(make_target("a", "s"))
+        self.book.put(make_target("a", "t"))
+        assert self.names("s") == []
+        assert self.names("t") == ["a"]
+
+
+class TestRoutedChooser(TestCase):
+    """Odds by expected wait; stalled and failed targets stand back."""
+
+    def setUp(self):
+        super().setUp()
+        self.chooser = RoutedChooser(random.Random(1), "dc0")
+        self.targets = [RoutedEvidence(make_target(n, "s")) for n in "abc"]
+
+    def choose(self, count: int = 600, now: float = 100.0) -> dict[str, int]:
+        """Return how often each target is chosen."""
+        counts = dict.fromkeys("abc", 0)
+        for _ in range(count):
+            counts[self.chooser.choose(self.targets, now, 0.1).target.name] += 1
+        return counts
+
+    def test_equal_targets_share(self):
+        assert min(self.choose().values()) > 150
+
+    def test_the_faster_gets_more_but_not_all(self):
+        self.targets[0].slowness = 0.5
+        counts = self.choose()
+        assert counts["a"] > 2 * counts["b"] > 0
+
+    def test_a_stalled_target_stands_back(self):
+        self.targets[0].began("send", 99.0)
+        assert self.choose()["a"] == 0
+
+    def test_a_failed_target_stands_back_for_a_while(self):
+        self.targets[0].failed(100.0)
+        assert self.choose()["a"] == 0
+        assert self.choose(now=101.0)["a"] > 0
+
+    def test_an_unreachable_target_is_the_last(self):
+        for target in self.targets[:2]:
+            target.lost(100.0)
+        assert self.choose(now=200.0)["c"] == 600
+        self.targets[2].lost(100.0)
+        assert sum(self.choose(count=5).values()) == 5
+
+
+class TestTargetProber(TestCase):
+    """Silent targets are tried beside callers' requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.book = TargetBook(self.clock, DRAIN_S, lambda target: None)
+        self.reachable = False
+        self.tries = 0
+        self.prober = TargetProber(
+            self.book, self.probe, lambda f, *a: f(*a), lambda s: None, self.clock
+        )
+        self.book.put(make_target("a", "s"))
+
+    def probe(self, target) -> bool:
+        """Count a try."""
+        self.tries += 1
+        return self.reachable
+
+    def test_a_sound_target_is_not_tried(self):
+        self.prober.look()
+        assert self.tries == 0
+
+    def test_a_silent_target_is_found_out_and_found_again(self):
+        evidence = self.book.find("a")
+        evidence.began("send", self.clock.now())
+        self.clock.advance(0.45)
+        self.prober.look()
+        assert evidence.unreachable
+        evidence.ended("send")
+        self.prober.look()
+        assert self.tries == 1
+        self.clock.advance(0.5)
+        self.reachable = True
+        self.prober.look()
+        assert not evidence.unreachable
+
+    def test_an_answer_ends_the_suspicion(self):
+        evidence = self.book.find("a")
+        evidence.lost(self.clock.now())
+        evidence.answered(1.0, self.clock.now())
+        self.clock.advance(9.0)
+        self.prober.look()
+        assert self.tries == 0
+
+
+class TestReach(TestCase):
+    """Readiness of a VM that is cut off from its targets."""
+
+    def test_half_of_the_routes(self):
+        clock = ManualClock()
+        bench = ForwardingBench(clock)
+        reach = Reach(bench.table, bench.book)
+        assert not reach.is_enough()
+        bench.set_up([make_search_route(4, 0.75), make_single_route()])
+        assert reach.is_enough()
+        for shard in range(2):
+            for replica in range(2):
+                bench.book.find(f"s{shard}.{replica}").lost(clock.now())
+        assert reach.is_enough()
+        for replica in range(2):
+            bench.book.find(f"desk.{replica}").lost(clock.now())
+        assert not reach.is_enough()
+
+    def test_services_without_targets_say_nothing(self):
+        bench = ForwardingBench(ManualClock())
+        bench.set_up([make_search_route(4, 0.75)])
+        idle = [make_single_route(name=f"r{n}", prefix=f"/{n}/") for n in range(5)]
+        bench.set_up([make_search_route(4, 0.75), *idle], replicas=0, version=2)
+        assert Reach(bench.table, bench.book).is_enough()
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/budget_test.py
@@ -0,0 +1,120 @@
+"""Tests of the shared budget, the times of answers, and the merge."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from ..clock import ManualClock
+from ..testing.forwarding_bench import make_search_route
+from .answer_time import AnswerTime
+from .repeat_budget import RepeatBounds, RepeatBudget
+from .top_records import merge_records
+
+BOUNDS = RepeatBounds(0.2, 54.0, 10.0)
+
+
+class TestRepeatBudget(TestCase):
+    """Sums over all VMs, in every window."""
+
+    def test_seven_vms_keep_within_the_bounds_in_every_window(self):
+        for seed in range(6):
+            self.play(random.Random(seed), restarts=False)
+
+    def test_so_they_do_when_vms_restart(self):
+        for seed in range(6):
+            self.play(random.Random(seed), restarts=True)
+
+    def play(self, source: random.Random, restarts: bool) -> None:
+        """Let greedy VMs repeat whatever they may, under uneven changing load."""
+        clock = ManualClock()
+        vms = [RepeatBudget(clock, BOUNDS, lambda: 7) for _ in range(7)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        rate = 40.0
+        restarted_at = clock.now() + 12.0
+        while clock.now() < 1040.0:
+            clock.advance(source.expovariate(rate))
+            if source.random() < 0.002:
+                rate = source.choice((5.0, 40.0, 120.0))
+            if restarts and clock.now() > restarted_at:
+                restarted_at += 25.0
+                vms = [RepeatBudget(clock, BOUNDS, lambda: 7) for _ in range(7)]
+            vm = vms[int(7 * source.random() ** 2)]
+            vm.note_request("s")
+            requests.append(clock.now())
+            while vm.spend("s"):
+                repeats.append(clock.now())
+        for start in range(1000, 1030):
+            extra = count(repeats, start, start + 10)
+            served = max(
+                count(requests, start - shift, start - shift + 10)
+                for shift in (0, 5, 10)
+            )
+            assert extra <= 0.2 * served + 54
+
+    def test_unused_allowance_does_not_add_up(self):
+        clock = ManualClock()
+        budget = RepeatBudget(clock, BOUNDS, lambda: 7)
+        for _ in range(1000):
+            budget.note_request("s")
+            clock.advance(1.0)
+        spent = 0
+        while budget.spend("s"):
+            spent += 1
+        assert spent <= 0.2 * 10 + 54 / 7
+
+    def test_services_are_counted_apart(self):
+        budget = RepeatBudget(ManualClock(), BOUNDS, lambda: 7)
+        while budget.spend("a"):
+            pass
+        assert budget.spend("b")
+
+
+def count(times: list[float], start: float, end: float) -> int:
+    """Return how many times lie in a window."""
+    return sum(1 for at in times if start <= at < end)
+
+
+class TestAnswerTime(TestCase):
+    """When a search stops waiting."""
+
+    def setUp(self):
+        super().setUp()
+        self.times = AnswerTime.plan(make_search_route(objective=0.07), 100.0, 1.0)
+
+    def test_not_before_the_objective(self):
+        assert not self.times.should_answer(100.05, enough=True)
+
+    def test_at_the_objective_with_enough(self):
+        assert self.times.should_answer(self.times.objective, enough=True)
+        assert not self.times.should_answer(self.times.objective, enough=False)
+
+    def test_late_waits_for_all_then_takes_enough(self):
+        assert not self.times.should_answer(100.1, enough=True)
+        assert self.times.should_answer(100.14, enough=True)
+
+    def test_deadline_is_the_callers_or_the_routes(self):
+        route = make_search_route(timeout=0.5)
+        assert AnswerTime.plan(route, 0.0, 9.0).deadline < 0.5
+        assert AnswerTime.plan(route, 0.0, 0.1).deadline < 0.1
+        assert AnswerTime.plan(route, 0.0, None).deadline < 0.5
+
+
+class TestMergeRecords(TestCase):
+    """The greatest records, falling."""
+
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @given(st.lists(st.binary(max_size=100), max_size=6), st.integers(1, 8))
+    def test_equals_the_plain_definition(self, bodies, count):
+        records = []
+        for body in bodies:
+            while len(body) >= 16:
+                records.append(body[:16])
+                body = body[16:]
+        expected = sorted(records, reverse=True)[:count]
+        assert merge_records(bodies, count) == b"".join(expected)
+
+    def test_equal_records_all_count(self):
+        assert merge_records([b"a" * 32, b"a" * 16], 3) == b"a" * 48
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/scatter_test.py
@@ -0,0 +1,280 @@
+"""Tests of searches over the shards of a route."""
+
+import random
+from dataclasses import replace
+
+import eventlet
+from testtools import TestCase
+
+from ..errors import DeadlineError, NoTargetError, RunUnknownError
+from ..targets.failures import BrokenFailure, ConnectFailure, RefusedFailure
+from ..testing import in_virtual_time
+from ..testing.fake_transport import make_reply
+from ..testing.forwarding_bench import (
+    ForwardingBench,
+    make_search_route,
+    make_target,
+)
+from .send import LINGER_S
+
+
+def set_up(clock, shards=20, replicas=2, lowest=0.9, **fields) -> ForwardingBench:
+    """Return a bench with one search route."""
+    bench = ForwardingBench(clock)
+    bench.set_up([make_search_route(shards, lowest, **fields)], replicas)
+    return bench
+
+
+class TestAnswers(TestCase):
+    """Parts, their merge, and what is missing."""
+
+    @in_virtual_time
+    def test_all_parts_and_the_greatest_records(self, clock):
+        bench = set_up(clock, shards=8)
+        answer = bench.run()
+        assert len(answer.seals) == 8
+        assert answer.missing == 0
+        names = sorted(seal.removeprefix("seal-") for seal in answer.seals)
+        expected = [n.encode().ljust(16, b".") for n in names[::-1]][:5]
+        assert answer.body == b"".join(expected)
+
+    @in_virtual_time
+    def test_a_failed_status_is_no_part(self, clock):
+        bench = set_up(clock, shards=10, replicas=1)
+        target = bench.book.find("s3.0").target
+        bench.transport.get("s3.0").fail = lambda: make_reply(target, 500)
+        answer = bench.run()
+        assert answer.missing == 1
+        assert "seal-s3.0" not in answer.seals
+
+    @in_virtual_time
+    def test_parts_come_from_the_version_at_the_start(self, clock):
+        bench = set_up(clock, shards=4)
+        request = bench.make_request()
+        route = bench.forwarder.find_route(request)
+        running = eventlet.spawn(bench.forwarder.run, route, request)
+        eventlet.sleep(0.001)
+        renamed = replace(make_search_route(4), shards=("n0", "n1", "n2", "n3"))
+        bench.set_up([renamed], version=2)
+        seals = running.wait().seals
+        assert all(seal.startswith("seal-s") for seal in seals)
+        assert all(seal.startswith("seal-n") for seal in bench.run().seals)
+
+    @in_virtual_time
+    def test_equal_signatures_are_named_once(self, clock):
+        bench = set_up(clock, shards=10, replicas=1)
+        other = make_reply(bench.book.find("s1.0").target)
+        bench.transport.get("s2.0").fail = lambda: other
+        answer = bench.run()
+        assert len(set(answer.seals)) == len(answer.seals) == 9
+        assert answer.missing == 1
+
+
+class TestTiming(TestCase):
+    """When a search answers with the parts that it has."""
+
+    @in_virtual_time
+    def test_answers_at_the_objective_when_enough_parts_are_in(self, clock):
+        bench = set_up(clock, replicas=1)
+        bench.transport.get("s7.0").latency = lambda: 0.5
+        started = clock.now()
+        answer = bench.run()
+        assert answer.missing == 1
+        assert 0.055 < clock.now() - started < 0.070
+
+    @in_virtual_time
+    def test_never_gives_up_a_part_before_the_objective(self, clock):
+        bench = set_up(clock, replicas=1)
+        bench.transport.get("s7.0").latency = lambda: 0.055
+        assert bench.run().missing == 0
+
+    @in_virtual_time
+    def test_waits_past_the_objective_for_the_lowest_share(self, clock):
+        bench = set_up(clock, replicas=1)
+        for number in range(4):
+            bench.transport.get(f"s{number}.0").latency = lambda: 0.2
+        started = clock.now()
+        answer = bench.run()
+        assert answer.missing <= 2
+        assert 0.19 < clock.now() - started < 0.21
+
+    @in_virtual_time
+    def test_ends_at_the_deadline_without_enough_parts(self, clock):
+        bench = set_up(clock, replicas=1)
+        for number in range(4):
+            bench.transport.get(f"s{number}.0").latency = lambda: 9.0
+        started = clock.now()
+        self.assertRaises(DeadlineError, bench.run)
+        assert 0.9 < clock.now() - started < 1.0
+
+
+class TestHedges(TestCase):
+    """A second target for a part that is late."""
+
+    @in_virtual_time
+    def test_a_paused_target_is_covered_by_the_other(self, clock):
+        bench = set_up(clock)
+        bench.transport.get("s5.0").latency = lambda: 0.2
+        bench.transport.get("s5.1").latency = lambda: 0.01
+        for _ in range(20):
+            assert bench.run().missing == 0
+
+    @in_virtual_time
+    def test_hedges_keep_within_the_budget(self, clock):
+        bench = set_up(clock, shards=3)
+        for name in ("s0.0", "s0.1"):
+            bench.transport.get(name).latency = lambda: 0.06
+        for _ in range(200):
+            bench.run()
+            eventlet.sleep(0.02)
+        extra = bench.count_arrivals("s0") - 200
+        assert 0 < extra <= 0.2 * 200 + 54
+
+    @in_virtual_time
+    def test_a_stalled_target_is_left_alone(self, clock):
+        bench = set_up(clock, shards=1, lowest=0.5)
+        bench.transport.get("s0.0").latency = lambda: 5.0
+        for _ in range(30):
+            eventlet.spawn(bench.run)
+            eventlet.sleep(0.02)
+        assert len(bench.transport.get("s0.0").arrivals) <= 8
+
+    @in_virtual_time
+    def test_most_targets_of_a_shard_asked(self, clock):
+        bench = set_up(clock, shards=4, replicas=3, lowest=1.0, max_attempts=2)
+        for number in range(3):
+            bench.transport.get(f"s0.{number}").fail = lambda: BrokenFailure("reset")
+        for _ in range(10):
+            self.assertRaises((RunUnknownError, DeadlineError), bench.run)
+            eventlet.sleep(1.0)
+        by_request: dict[str, int] = {}
+        for number in range(3):
+            for _, attempt in bench.transport.get(f"s0.{number}").arrivals:
+                by_request[attempt] = by_request.get(attempt, 0) + 1
+        assert max(by_request.values()) <= 2
+
+
+class TestFailures(TestCase):
+    """Targets that fail, refuse, or are out of reach."""
+
+    @in_virtual_time
+    def test_another_target_after_a_failed_connection(self, clock):
+        bench = set_up(clock)
+        for number in range(20):
+            bench.transport.get(f"s{number}.0").fail = lambda: ConnectFailure("no")
+        assert bench.run().missing == 0
+
+    @in_virtual_time
+    def test_refusing_targets_are_asked_again(self, clock):
+        bench = set_up(clock, shards=1, lowest=1.0)
+        left = [3]
+
+        def shed():
+            left[0] -= 1
+            return RefusedFailure("full", "shed", "") if left[0] >= 0 else None
+
+        for name in ("s0.0", "s0.1"):
+            bench.transport.get(name).fail = shed
+        assert bench.run().missing == 0
+
+    @in_virtual_time
+    def test_not_run_is_said_at_once_when_too_few_are_in_reach(self, clock):
+        bench = set_up(clock)
+        for evidence in bench.book.suspects(0.0, 0.0) or []:
+            evidence.lost(clock.now())
+        for number in range(3):
+            for replica in range(2):
+                bench.book.find(f"s{number}.{replica}").lost(clock.now())
+        started = clock.now()
+        error = self.assertRaises(NoTargetError, bench.run)
+        assert error.outcome == "not_run"
+        assert clock.now() - started < 0.001
+        assert sum(bench.count_arrivals(f"s{n}") for n in range(20)) == 0
+
+    @in_virtual_time
+    def test_one_lost_shard_is_left_out(self, clock):
+        bench = set_up(clock)
+        for replica in range(2):
+            bench.book.remove(f"s4.{replica}")
+        clock.advance(5.0)
+        answer = bench.run()
+        assert answer.missing == 1
+
+    @in_virtual_time
+    def test_unknown_when_something_may_have_run(self, clock):
+        bench = set_up(clock, shards=2, lowest=1.0)
+        for name in ("s0.0", "s0.1"):
+            bench.transport.get(name).fail = lambda: BrokenFailure("reset")
+        error = self.assertRaises(RunUnknownError, bench.run)
+        assert error.outcome == "unknown"
+        assert error.status == 502
+
+
+class TestCallersThatLeave(TestCase):
+    """No work for a caller that has gone."""
+
+    @in_virtual_time
+    def test_no_send_after_the_caller_left_and_work_ends(self, clock):
+        bench = set_up(clock)
+        for number in range(20):
+            for replica in range(2):
+                target = bench.transport.get(f"s{number}.{replica}")
+                target.latency = lambda: 5.0
+        request = bench.make_request()
+        route = bench.forwarder.find_route(request)
+        task = eventlet.spawn(bench.forwarder.run, route, request)
+        eventlet.sleep(0.01)
+        task.kill()
+        left_at = clock.now()
+        eventlet.sleep(1.0)
+        fakes = bench.transport.targets.values()
+        assert all(at <= left_at for fake in fakes for at, _ in fake.arrivals)
+        last = max(at for fake in fakes for at, _ in fake.ended)
+        assert last - left_at <= LINGER_S + 0.01 < 0.5
+
+
+class TestUnderLoad(TestCase):
+    """What callers get while targets pause, as on an ordinary day."""
+
+    @in_virtual_time
+    def test_pausing_targets_cost_few_parts(self, clock):
+        source = random.Random(3)
+        bench = set_up(clock, max_attempts=2, lowest=0.75)
+        phases: dict[str, float] = {}
+
+        def make_latency(name):
+            phases[name] = source.uniform(0, 4.5)
+
+            def latency() -> float:
+                work = source.lognormvariate(-4.6, 0.35)
+                into = (clock.now() + phases[name]) % 4.5
+                return work + (0.2 - into if into < 0.2 else 0.0)
+
+            return latency
+
+        for number in range(20):
+            for replica in range(2):
+                name = f"s{number}.{replica}"
+                bench.transport.get(name).latency = make_latency(name)
+        share = []
+        for _ in range(300):
+            started = clock.now()
+            answer = bench.run()
+            share.append(len(answer.seals) / 20)
+            assert clock.now() - started < 0.07
+            eventlet.sleep(max(0.0, 0.1 - (clock.now() - started)))
+        earned = sum(part**2 for part in share) / len(share)
+        assert earned > 0.97
+
+
+class TestLeavingTargets(TestCase):
+    """Targets that drain get nothing new."""
+
+    @in_virtual_time
+    def test_no_send_to_a_draining_target(self, clock):
+        bench = set_up(clock, shards=2)
+        bench.book.put(make_target("s0.0", "s0", draining=True))
+        before = len(bench.transport.get("s0.0").arrivals)
+        for _ in range(50):
+            bench.run()
+        assert len(bench.transport.get("s0.0").arrivals) == before
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/single_test.py
@@ -0,0 +1,135 @@
+"""Tests of requests that one target serves."""
+
+import eventlet
+from testtools import TestCase
+
+from ..errors import DeadlineError, NoTargetError, RunUnknownError
+from ..routing import WeightedService
+from ..targets.failures import BrokenFailure, ConnectFailure, RefusedFailure
+from ..testing import in_virtual_time
+from ..testing.fake_transport import make_reply
+from ..testing.forwarding_bench import ForwardingBench, make_single_route
+
+PATH = "/one/x"
+
+
+def set_up(clock, repeatable: bool, replicas: int = 3, **fields) -> ForwardingBench:
+    """Return a bench with one route to the service `desk`."""
+    bench = ForwardingBench(clock)
+    bench.set_up([make_single_route(repeatable, **fields)], replicas)
+    return bench
+
+
+def fail_all(bench, failure) -> None:
+    """Let all targets fail."""
+    for number in range(3):
+        bench.transport.get(f"desk.{number}").fail = failure
+
+
+class TestAtMostOnce(TestCase):
+    """Requests that must not run twice."""
+
+    @in_virtual_time
+    def test_one_target_when_it_may_have_run(self, clock):
+        bench = set_up(clock, repeatable=False)
+        fail_all(bench, lambda: BrokenFailure("reset"))
+        error = self.assertRaises(RunUnknownError, bench.run, PATH, 5.0)
+        assert error.outcome == "unknown"
+        assert bench.count_arrivals("desk") == 1
+
+    @in_virtual_time
+    def test_no_hedge_however_late(self, clock):
+        bench = set_up(clock, repeatable=False)
+        for number in range(3):
+            bench.transport.get(f"desk.{number}").latency = lambda: 9.0
+        self.assertRaises(DeadlineError, bench.run, PATH, 5.0)
+        assert bench.count_arrivals("desk") == 1
+
+    @in_virtual_time
+    def test_another_target_after_proof(self, clock):
+        for failure in (ConnectFailure("no"), RefusedFailure("full", "shed", "")):
+            bench = set_up(clock, repeatable=False)
+            bench.transport.get("desk.0").fail = lambda failure=failure: failure
+            bench.transport.get("desk.1").fail = lambda failure=failure: failure
+            for _ in range(5):
+                assert bench.run(PATH, 5.0).status == 200
+                eventlet.sleep(1.0)
+
+    @in_virtual_time
+    def test_a_targets_error_is_passed_on_and_not_repeated(self, clock):
+        bench = set_up(clock, repeatable=False)
+        for number in range(3):
+            target = bench.book.find(f"desk.{number}").target
+            reply = make_reply(target, 500)
+            bench.transport.get(f"desk.{number}").fail = lambda reply=reply: reply
+        assert bench.run(PATH, 5.0).status == 500
+        assert bench.count_arrivals("desk") == 1
+
+    @in_virtual_time
+    def test_refused_by_all_is_not_run(self, clock):
+        bench = set_up(clock, repeatable=False)
+        fail_all(bench, lambda: RefusedFailure("full", "shed", ""))
+        error = self.assertRaises(NoTargetError, bench.run, PATH, 5.0)
+        assert error.outcome == "not_run"
+        assert error.retry_after > 0
+
+
+class TestRepeats(TestCase):
+    """Requests that may run more than once."""
+
+    @in_virtual_time
+    def test_another_target_after_a_break(self, clock):
+        bench = set_up(clock, repeatable=True)
+        bench.transport.get("desk.0").fail = lambda: BrokenFailure("reset")
+        bench.transport.get("desk.1").fail = lambda: BrokenFailure("reset")
+        bench.book.remove("desk.1")
+        for _ in range(5):
+            assert bench.run(PATH, 5.0).status == 200
+
+    @in_virtual_time
+    def test_hedge_to_a_second_target(self, clock):
+        bench = set_up(clock, repeatable=True)
+        bench.transport.get("desk.0").latency = lambda: 4.0
+        bench.transport.get("desk.1").latency = lambda: 4.0
+        started = clock.now()
+        for _ in range(4):
+            bench.run(PATH, 5.0)
+        assert clock.now() - started < 4.0
+
+    @in_virtual_time
+    def test_no_target_is_refused_at_once(self, clock):
+        bench = set_up(clock, repeatable=True)
+        for number in range(3):
+            bench.book.find(f"desk.{number}").lost(clock.now())
+        started = clock.now()
+        self.assertRaises(NoTargetError, bench.run, PATH, 5.0)
+        assert clock.now() - started < 0.001
+
+    @in_virtual_time
+    def test_final_answer_before_the_routes_timeout(self, clock):
+        bench = set_up(clock, repeatable=True, timeout=0.4, objective=0.3)
+        for number in range(3):
+            bench.transport.get(f"desk.{number}").latency = lambda: 9.0
+        started = clock.now()
+        self.assertRaises(DeadlineError, bench.run, PATH, 5.0)
+        assert clock.now() - started < 0.4
+
+
+class TestWeights(TestCase):
+    """Shares of weighted services."""
+
+    @in_virtual_time
+    def test_a_part_without_targets_is_refused_not_moved(self, clock):
+        parts = (WeightedService("desk", 3.0), WeightedService("rota", 1.0))
+        bench = set_up(clock, repeatable=True, services=parts)
+        for number in range(3):
+            bench.book.remove(f"rota.{number}")
+        clock.advance(5.0)
+        refused = 0
+        for _ in range(80):
+            try:
+                bench.run(PATH, 5.0)
+            except NoTargetError:
+                refused += 1
+        assert refused == 20
+        assert bench.count_arrivals("desk") == 60
--- /dev/null
+++ b/packages/cassiastair/cassiastair/routing/table_test.py
@@ -0,0 +1,79 @@
+"""Tests of the routing table and of weighted splits."""
+
+import random
+from dataclasses import replace
+
+from testtools import TestCase
+
+from ..testing.forwarding_bench import make_search_route, make_single_route
+from .configuration import CallerLimits, RoutingConfiguration
+from .route import WeightedService
+from .split import SmoothSplit
+from .table import RoutingTable
+
+
+def configure(version: int, *routes) -> RoutingConfiguration:
+    """Return a configuration."""
+    return RoutingConfiguration(version, routes, {}, CallerLimits())
+
+
+class TestRoutingTable(TestCase):
+    """Look-ups and versions."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = RoutingTable(random.Random(1))
+
+    def test_longest_prefix_of_the_host(self):
+        short = make_single_route(name="short", prefix="/a/")
+        long = make_single_route(name="long", prefix="/a/b/")
+        other = make_single_route(name="other", host="else", prefix="/a/b/c/")
+        self.table.put(configure(1, short, long, other))
+        assert self.table.find("host", "/a/b/c/d").name == "long"
+        assert self.table.find("host", "/a/x").name == "short"
+        assert self.table.find("else", "/a/b/c/d").name == "other"
+        assert self.table.find("host", "/a") is None
+        assert self.table.find("none", "/a/") is None
+
+    def test_never_back_to_an_older_version(self):
+        new = make_single_route(name="new")
+        old = make_single_route(name="old")
+        assert self.table.put(configure(7, new))
+        assert not self.table.put(configure(6, old))
+        assert not self.table.put(configure(7, old))
+        assert self.table.find("host", "/one/x").name == "new"
+        assert self.table.version == 7
+
+    def test_split_goes_on_where_it_was_when_other_routes_change(self):
+        parts = (WeightedService("a", 1), WeightedService("b", 1))
+        route = make_single_route(services=parts)
+        self.table.put(configure(1, route))
+        first = self.table.choose_service(route)
+        self.table.put(configure(2, route, make_search_route()))
+        assert self.table.choose_service(route) != first
+
+    def test_changed_weights_hold_at_once(self):
+        route = make_single_route(services=(WeightedService("a", 1),))
+        self.table.put(configure(1, route))
+        changed = replace(route, services=(WeightedService("b", 1),))
+        self.table.put(configure(2, changed))
+        assert self.table.choose_service(changed) == "b"
+
+
+class TestSmoothSplit(TestCase):
+    """Shares of weighted services."""
+
+    def test_every_prefix_is_within_one_of_the_share(self):
+        weights = {"a": 5.0, "b": 3.0, "c": 2.0}
+        services = tuple(WeightedService(n, w) for n, w in weights.items())
+        for phase in (0.0, 0.3, 0.99):
+            split = SmoothSplit(services, phase)
+            counts = dict.fromkeys(weights, 0)
+            for done in range(1, 400):
+                counts[split.choose()] += 1
+                for name, weight in weights.items():
+                    assert abs(counts[name] - done * weight / 10) <= 1.8
+
+    def test_weight_zero_gets_nothing(self):
+        split = SmoothSplit((WeightedService("a", 0), WeightedService("b", 2)), 0.5)
+        assert {split.choose() for _ in range(20)} == {"b"}
