--- /dev/null
+++ b/standins/world/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: store, back ends, and callers, with faults."""
