Few readers by heartbeats, pushes inside a data centre, slow targets stand back

Change: ReaderTurns, pushes on local links, asks across only when a peer stays ahead; only a target that was out of reach is trusted again after a probe; removals are always news. The slack of the budget counts after one window and more of it is used.

--- a/packages/cassiastair/cassiastair/forwarding/book_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/book_test.py
@@ -148,6 +148,15 @@
         self.prober.look()
         assert not evidence.unreachable
 
+    def test_a_slow_target_in_reach_goes_on_standing_back(self):
+        evidence = self.book.find("a")
+        evidence.failed(self.clock.now())
+        evidence.failed(self.clock.now())
+        self.reachable = True
+        self.prober.look()
+        assert self.tries == 1
+        assert evidence.avoid_until > self.clock.now()
+
     def test_an_answer_ends_the_suspicion(self):
         evidence = self.book.find("a")
         evidence.lost(self.clock.now())
--- a/packages/cassiastair/cassiastair/forwarding/budget_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/budget_test.py
@@ -66,7 +66,10 @@
         assert spent <= 0.2 * 10 + 54 / 7
 
     def test_services_are_counted_apart(self):
-        budget = RepeatBudget(ManualClock(), BOUNDS, lambda: 7)
+        clock = ManualClock()
+        budget = RepeatBudget(clock, BOUNDS, lambda: 7)
+        assert not budget.spend("a")
+        clock.advance(10.0)
         while budget.spend("a"):
             pass
         assert budget.spend("b")
--- a/packages/cassiastair/cassiastair/forwarding/choice.py
+++ b/packages/cassiastair/cassiastair/forwarding/choice.py
@@ -5,7 +5,7 @@
 
 from .evidence import RoutedEvidence
 
-FOREIGN_FACTOR = 1.15  # weight of the way to another data centre
+FOREIGN_FACTOR = 1.6  # weight of the way to another data centre, whose bytes cost
 SHARPNESS = 2  # power of the expected wait in the odds of a choice
 
 
--- a/packages/cassiastair/cassiastair/forwarding/evidence.py
+++ b/packages/cassiastair/cassiastair/forwarding/evidence.py
@@ -82,10 +82,14 @@
         self.avoid_until = now + pause
 
     def reached(self) -> None:
-        """Take note that a connection could be opened; answers may still lack."""
-        self.unreachable = False
-        self.failures = min(self.failures, 1)
-        self.avoid_until = 0.0
+        """Take note that a connection could be opened; answers may still lack.
+
+        A target that only answers slowly goes on standing back.
+        """
+        if self.unreachable:
+            self.unreachable = False
+            self.failures = 1
+            self.avoid_until = 0.0
 
     def lost(self, now: float) -> None:
         """Take note that no connection could be opened."""
--- a/packages/cassiastair/cassiastair/forwarding/repeat_budget.py
+++ b/packages/cassiastair/cassiastair/forwarding/repeat_budget.py
@@ -7,7 +7,7 @@
 
 BUCKETS = 10  # parts of the window that are counted apart
 RATIO_USED = 0.8  # used part of the allowed ratio; the rest covers unequal windows
-SLACK_USED = 0.45  # used part of the fixed allowance; a restarted VM forgets its use
+SLACK_USED = 0.8  # used part of the fixed allowance; the rest covers late word of VMs
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +34,8 @@
 
     A VM uses the ratio on its own requests and its equal part of the slack. The
     sum over all VMs keeps within the bounds whichever VM the requests reach, and
-    stays so while VMs cannot hear one another.
+    stays so while VMs cannot hear one another. A VM that has just started does not
+    know what its last run has used, so it has no part of the slack for one window.
 
     Parameters
     ----------
@@ -53,6 +54,7 @@
         self._bounds = bounds
         self._get_vm_count = get_vm_count
         self._length = bounds.window / BUCKETS
+        self._full_at = clock.now() + bounds.window
         self._counts: dict[str, _Window] = {}
 
     def note_request(self, service: str) -> None:
@@ -78,7 +80,9 @@
 
     def _allowance(self, window: "_Window") -> float:
         """Return the repeats that may stand in the window."""
-        slack = self._bounds.slack * SLACK_USED / max(1, self._get_vm_count())
+        slack = 0.0
+        if self._clock.now() >= self._full_at:
+            slack = self._bounds.slack * SLACK_USED / max(1, self._get_vm_count())
         return self._bounds.ratio * RATIO_USED * window.requests + slack
 
     def _find(self, service: str) -> "_Window":
--- a/packages/cassiastair/cassiastair/membership/__init__.py
+++ b/packages/cassiastair/cassiastair/membership/__init__.py
@@ -3,7 +3,8 @@
 from .freshness import Freshness
 from .leaving import LeavingTargets
 from .mesh import choose_links
-from .reader_schedule import ReaderSchedule, ReaderSteps
+from .reader_schedule import ReaderSchedule
+from .reader_turns import ReaderTurns
 from .rendezvous import rank_by_rendezvous
 from .roster import Roster
 
@@ -11,7 +12,7 @@
     "Freshness",
     "LeavingTargets",
     "ReaderSchedule",
-    "ReaderSteps",
+    "ReaderTurns",
     "Roster",
     "choose_links",
     "rank_by_rendezvous",
--- a/packages/cassiastair/cassiastair/membership/roster.py
+++ b/packages/cassiastair/cassiastair/membership/roster.py
@@ -89,3 +89,8 @@
         own = self.own.data_centre
         vms = self._vms.values()
         return [v.name for v in vms if v.data_centre == own and self.is_live(v.name)]
+
+    def locals(self) -> list[str]:
+        """Return the names of the known VMs of the own data centre."""
+        own = self.own.data_centre
+        return [vm.name for vm in self._vms.values() if vm.data_centre == own]
--- a/packages/cassiastair/cassiastair/news/news_test.py
+++ b/packages/cassiastair/cassiastair/news/news_test.py
@@ -10,7 +10,7 @@
 from ..clock import ManualClock
 from ..data import Vm
 from ..errors import PeerProtocolError
-from ..membership import Freshness, ReaderSchedule, ReaderSteps, Roster
+from ..membership import Freshness, ReaderTurns, Roster
 from ..peers.link import PeerLink
 from ..peers.messages import NewsBeat, NewsChanges
 from .item import NewsItem
@@ -122,8 +122,7 @@
         self.reader = NewsReader(
             self.store,
             self.table,
-            ReaderSchedule("a", "dc"),
-            list,
+            ReaderTurns("a", "dc", list, self.clock),
             self.freshness,
             lambda after, items: self.published.append((after, items)),
             3.0,
@@ -218,7 +217,9 @@
         vm = Vm(f"vm{number}", "r1", "dc", "127.0.0.1", 1, 2)
         roster = Roster(vm, self.clock)
         table = NewsTable(lambda items: None)
-        return NewsNode(vm, roster, table, Freshness(self.clock))
+        turns = ReaderTurns(vm.name, "dc", roster.locals, self.clock)
+        freshness = Freshness(self.clock)
+        return NewsNode(vm, roster, table, freshness, turns, lambda: True)
 
     def connect(self, one: int, other: int) -> None:
         """Open a link."""
@@ -302,7 +303,7 @@
         fleet.deliver(lose=lambda: True)
         one, other = fleet.nodes
         link = next(end for end in fleet.links if end.node is other)
-        other.handle(link, NewsBeat(other.table.revision - 1, 0.0))
+        other.handle(link, NewsBeat(other.table.revision - 1, 0.0, []))
         assert other.freshness.age == float("inf")
 
     def test_a_malformed_item_closes_the_link(self):
@@ -349,18 +350,58 @@
             assert fleet.contents(number) == fleet.store.items
 
 
-class TestReaderSteps(TestCase):
-    """Who reads in a large data centre."""
+class TestReaderTurns(TestCase):
+    """A few readers in each data centre, whatever fails."""
 
-    def test_few_read_and_the_rest_step_in_by_rank(self):
-        names = [f"vm{number}" for number in range(26)]
-        steps = ReaderSteps(3, 3.0, 0.4, 8.0)
-        schedules = {name: ReaderSchedule(name, "dc", steps) for name in names}
-
-        def count(age: float) -> int:
-            return sum(s.should_read(names, age) for s in schedules.values())
-
-        assert count(0.5) == 3
-        assert count(3.1) == 4
-        assert 4 < count(5.0) < 12
-        assert count(8.0) == 26
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.names = [f"vm{number}" for number in range(26)]
+        self.alive = set(self.names)
+        self.turns = {name: self.make(name) for name in self.names}
+        self.source = random.Random(5)
+
+    def make(self, name: str) -> ReaderTurns:
+        """Return a VM that knows all others by name."""
+        others = [other for other in self.names if other != name]
+        return ReaderTurns(name, "dc", lambda: others, self.clock)
+
+    def play(self, seconds: int, served=lambda name: True) -> list[int]:
+        """Let VMs beat to four random others each second; return the readers."""
+        counts = []
+        for _ in range(seconds * 5):
+            self.clock.advance(0.2)
+            alive = sorted(self.alive)
+            reading = [n for n in alive if self.turns[n].should_read()]
+            for name in alive:
+                told = self.turns[name].tell(served(name))
+                for other in self.source.sample(alive, min(2, len(alive))):
+                    for reader, age in told:
+                        self.turns[other].note(reader, age)
+            counts.append(len(reading))
+        return counts
+
+    def test_few_read_after_the_start(self):
+        counts = self.play(20)
+        assert 3 <= min(counts[50:]) <= max(counts[50:]) <= 5
+
+    def test_others_step_in_when_all_readers_end(self):
+        self.play(20)
+        self.alive -= {n for n in self.names if self.turns[n].reading}
+        counts = self.play(20)
+        assert 0 in counts
+        assert min(counts[45:]) >= 3
+        assert max(counts[75:]) <= 5
+
+    def test_others_step_in_when_the_store_turns_the_readers_away(self):
+        self.play(20)
+        away = {n for n in self.names if self.turns[n].reading}
+        self.play(15, served=lambda name: name not in away)
+        served = [n for n in self.names if self.turns[n].reading and n not in away]
+        assert 3 <= len(served) <= 8
+
+    def test_an_isolated_vm_reads_by_itself(self):
+        self.play(20)
+        lone = next(n for n in self.names if not self.turns[n].reading)
+        self.alive = {lone}
+        assert self.play(14)[-1] == 1
--- a/packages/cassiastair/cassiastair/news/node.py
+++ b/packages/cassiastair/cassiastair/news/node.py
@@ -1,21 +1,28 @@
 """Passes the store's changes on between VMs.
 
-A VM that reads the store pushes each page of changes on its links, and every VM
-passes on once what it had not known. Heartbeats carry revisions; whoever is behind
-asks the peer for what lies after its own revision. The store's one order of changes
-makes a comparison of contents needless.
+Each data centre has readers of its own, so a page of changes is pushed on the links
+inside the data centre only, and every VM passes on once what it had not known.
+Heartbeats carry revisions, on all links; whoever stays behind asks the peer for what
+lies after its own revision. The store's one order of changes makes a comparison of
+contents needless.
 """
 
+from collections.abc import Callable
+
 from ..data import Vm
 from ..errors import PeerProtocolError
-from ..membership import Freshness, Roster
+from ..membership import Freshness, ReaderTurns, Roster
 from ..peers.link import PeerLink
 from ..peers.mesh_node import MeshNode
-from ..peers.messages import NewsBeat, NewsChanges, NewsWant
+from ..peers.messages import Bye, NewsBeat, NewsChanges, NewsWant
 from .item import NewsItem
 from .table import NewsTable
 
 NO_AGE = -1.0
+# Heartbeats in a row that show a peer of another data centre ahead: the readers of
+# the own one bring most changes sooner, and bytes between data centres cost.
+BEHIND_BEATS = 2
+STALE_S = 1.5  # age of the store's word from which any peer's is asked for at once
 
 
 class NewsNode(MeshNode):
@@ -31,6 +38,10 @@
         What the store has published.
     freshness : Freshness
         Age of the store's word.
+    turns : ReaderTurns
+        Which VMs read the store.
+    is_served : callable
+        Tells whether the store answers this VM, if it reads.
     """
 
     def __init__(
@@ -39,10 +50,14 @@
         roster: Roster,
         table: NewsTable,
         freshness: Freshness,
+        turns: ReaderTurns,
+        is_served: Callable[[], bool],
     ):
         super().__init__(own, roster)
         self.table = table
         self.freshness = freshness
+        self._turns = turns
+        self._is_served = is_served
         self._handlers |= {
             NewsBeat: self._take_beat,
             NewsChanges: self._take_changes,
@@ -60,7 +75,17 @@
             All changes up to the table's revision.
         """
         self.counts.pushed += 1
-        self._broadcast(self._make_changes(after, items), None)
+        self._push(self._make_changes(after, items), None)
+
+    def _push(self, changes: NewsChanges, source: PeerLink | None) -> None:
+        """Send changes on the links inside the data centre."""
+        for link in list(self.links.values()):
+            if link is not source and self._is_local(link):
+                self._send(link, changes)
+
+    def _is_local(self, link: PeerLink) -> bool:
+        """Tell whether a peer is in the own data centre."""
+        return link.vm.data_centre == self.own.data_centre
 
     def beat(self) -> None:
         """Send a heartbeat on every link."""
@@ -68,10 +93,16 @@
 
     def _make_beat(self) -> NewsBeat:
         """Return the heartbeat of this moment."""
-        return NewsBeat(self.table.revision, self._state_age())
+        readers = self._turns.tell(self._is_served())
+        return NewsBeat(self.table.revision, self._state_age(), readers)
 
     def _state_age(self) -> float:
-        """Return the age of the store's word as it is sent."""
+        """Return the age of the store's word as it is sent.
+
+        While the store lets this VM wait for changes, there are none.
+        """
+        if self._turns.reading and self._is_served():
+            return 0.0
         age = self.freshness.age
         return NO_AGE if age == float("inf") else round(age, 3)
 
@@ -85,13 +116,36 @@
         self._send(link, self._make_beat())
 
     def _take_beat(self, link: PeerLink, beat: NewsBeat) -> None:
-        """Ask for changes if the peer knows more; else take its age."""
+        """Ask for changes if the peer stays ahead; else take its age."""
         self.roster.contact(link.vm)
-        if beat.revision > self.table.revision:
+        if self._is_local(link):
+            self._take_readers(beat.readers)
+        if beat.revision <= self.table.revision:
+            link.mismatches = 0
+            if beat.revision == self.table.revision and beat.age >= 0:
+                self.freshness.note(beat.age)
+            return
+        link.mismatches += 1
+        stale = self.freshness.age > STALE_S
+        if stale or self._is_local(link) or link.mismatches >= BEHIND_BEATS:
+            link.mismatches = 0
             self.counts.repairs += 1
             self._send(link, NewsWant(self.table.revision))
-        elif beat.revision == self.table.revision and beat.age >= 0:
-            self.freshness.note(beat.age)
+
+    def _take_readers(self, readers: list) -> None:
+        """Take whom a peer has heard of as readers of the data centre."""
+        for reader in readers:
+            if not isinstance(reader, list) or len(reader) != 2:
+                raise PeerProtocolError("a reader is malformed")
+            name, age = reader
+            if not isinstance(name, str) or not isinstance(age, (int, float)):
+                raise PeerProtocolError("a reader is malformed")
+            self._turns.note(name, age)
+
+    def _take_bye(self, link: PeerLink, bye: Bye) -> None:
+        """Drop a peer that is stopping."""
+        self._turns.gone(link.vm.name)
+        super()._take_bye(link, bye)
 
     def _take_want(self, link: PeerLink, want: NewsWant) -> None:
         """Send a peer the changes that it lacks, or everything."""
@@ -120,8 +174,10 @@
         self.counts.repaired += len(news)
         if frame.age >= 0:
             self.freshness.note(frame.age)
-        changes = self._make_changes(max(before, frame.after), news)
-        self._broadcast(changes if before >= 0 else self._make_beat(), link)
+        if before >= 0:
+            self._push(self._make_changes(max(before, frame.after), news), link)
+        else:
+            self._broadcast(self._make_beat(), link)
 
 
 def read_item(plain: object) -> NewsItem:
--- a/packages/cassiastair/cassiastair/news/reader.py
+++ b/packages/cassiastair/cassiastair/news/reader.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from ..membership import Freshness, ReaderSchedule
+from ..membership import Freshness, ReaderTurns
 from .source import HistoryGone, NewsSource, SourceFailure
 from .table import NewsTable
 
@@ -24,10 +24,8 @@
         The store.
     table : NewsTable
         Takes what is read.
-    schedule : ReaderSchedule
+    turns : ReaderTurns
         Tells whether it is this VM's turn.
-    get_live : callable
-        Returns the live VMs of the data centre.
     freshness : Freshness
         Age of the store's word.
     publish : callable
@@ -46,8 +44,7 @@
         self,
         source: NewsSource,
         table: NewsTable,
-        schedule: ReaderSchedule,
-        get_live: Callable[[], list[str]],
+        turns: ReaderTurns,
         freshness: Freshness,
         publish: Callable[[int, list], None],
         bound: float,
@@ -57,8 +54,7 @@
     ):
         self._source = source
         self._table = table
-        self._schedule = schedule
-        self._get_live = get_live
+        self._turns = turns
         self._freshness = freshness
         self._publish = publish
         self._wait = WATCH_SHARE * bound
@@ -68,6 +64,7 @@
         self._random = source_of_chance
         self._backoff = FIRST_BACKOFF_S
         self.failing = False
+        self.served = False
 
     def run(self, may_wait: bool = False) -> None:
         """Read for as long as the process runs.
@@ -80,7 +77,7 @@
         if may_wait:
             self._sleep(FIRST_WAIT_S)
         while True:
-            if self._schedule.should_read(self._get_live(), self._freshness.age):
+            if self._turns.should_read():
                 self.read_once()
             else:
                 self._sleep(IDLE_S)
@@ -127,6 +124,7 @@
         if self.failing:
             self._note("platform regained", revision=self._table.revision)
         self.failing = False
+        self.served = True
         self._backoff = FIRST_BACKOFF_S
         self._freshness.note(0.0)
         if news:
@@ -139,5 +137,6 @@
                 "platform lost", revision=self._table.revision, reason=str(failure)
             )
         self.failing = True
+        self.served = False
         self._sleep(self._backoff * (0.5 + self._random.random()))
         self._backoff = min(LONGEST_BACKOFF_S, self._backoff * 2)
--- a/packages/cassiastair/cassiastair/news/table.py
+++ b/packages/cassiastair/cassiastair/news/table.py
@@ -84,7 +84,7 @@
         was_removed = known is not None and known.value is None
         self._removed += (item.value is None) - was_removed
         self._items[item.key] = item
-        return known is not None or item.value is not None
+        return True  # also a removal of an unknown key: a peer may know the key
 
     def _forget_removed(self) -> None:
         """Forget the oldest removed keys when there are many."""
--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -209,7 +209,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NewsBeat:
-    """Heartbeat of VMs that follow the platform's store; its size does not grow.
+    """Heartbeat of VMs that follow the platform's store; its size is bounded.
 
     Parameters
     ----------
@@ -217,10 +217,14 @@
         Revision up to which the sender knows everything; -1 for nothing.
     age : float
         Seconds since the store confirmed that; -1 for never.
+    readers : list
+        Names of VMs of the sender's data centre that read the store, each with the
+        seconds since it was heard.
     """
 
     revision: int
     age: float
+    readers: list
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -63,6 +63,7 @@
         self.table = RoutingTable(source)
         self.log = ListDecisionLog()
         self.budget = RepeatBudget(clock, RepeatBounds(0.2, slack, 10.0), lambda: 7)
+        clock.advance(10.0)  # the whole budget is there after one window
         self.parts = ForwardingParts(
             table=self.table,
             book=self.book,
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -21,8 +21,7 @@
 from cassiastair.forwarding.repeat_budget import RepeatBounds
 from cassiastair.membership import (
     Freshness,
-    ReaderSchedule,
-    ReaderSteps,
+    ReaderTurns,
     Roster,
 )
 from cassiastair.news import (
@@ -52,10 +51,6 @@
 TEND_S = 0.5  # interval of looks at leaving targets and the heap
 LEAST_VMS = 7  # VMs assumed to share bounds until more are known
 DEFAULT_CONNECTIONS = 16  # connections of a target whose service states no limit
-READERS = 3  # VMs of a data centre that read the store while all is well
-STEP_IN_SHARE = 0.6  # age of the store's word over the bound at which others read
-STEP_S = 0.4  # further age for each rank
-LONGEST_STEP_S = 8.0  # age at which the last rank reads; an isolated VM has rank 0
 LOCAL_DEGREE = 4  # links inside the data centre: two rings
 CROSS_DEGREE = 2  # links to other data centres: one ring
 STOP_SHARE = 0.5  # part of the grace for which new connections are taken
@@ -164,7 +159,17 @@
         self.intake = NewsIntake(decoder, self.table, self.book, self.log)
         self.news = NewsTable(self.intake.take)
         self.freshness = Freshness(self._clock)
-        self.node = NewsNode(self.own, self.roster, self.news, self.freshness)
+        self.turns = ReaderTurns(
+            self.own.name, self.own.data_centre, self.roster.locals, self._clock
+        )
+        self.node = NewsNode(
+            self.own,
+            self.roster,
+            self.news,
+            self.freshness,
+            self.turns,
+            lambda: self.reader.served,
+        )
         self.node.note = lambda event, **inputs: self.log.warn(event, "", **inputs)
         self.forwarder = CallForwarder(refuse_call)
         self.keeper = LinkKeeper(
@@ -176,12 +181,10 @@
             self._clock,
         )
         bound = min(self.settings.drain, self.settings.apply)
-        steps = ReaderSteps(READERS, STEP_IN_SHARE * bound, STEP_S, LONGEST_STEP_S)
         self.reader = NewsReader(
             store,
             self.news,
-            ReaderSchedule(self.own.name, self.own.data_centre, steps),
-            self.roster.live_locals,
+            self.turns,
             self.freshness,
             self.node.publish,
             bound,
--- a/packages/cassiastaird/cassiastaird/peers/codec_test.py
+++ b/packages/cassiastaird/cassiastaird/peers/codec_test.py
@@ -24,7 +24,7 @@
     messages.Bye(),
     messages.Call(1, b"{}", 0.5, ""),
     messages.Reply(1, 200, {"outcome": "done"}),
-    messages.NewsBeat(7, 0.5),
+    messages.NewsBeat(7, 0.5, [["vm1", 0.5]]),
     messages.NewsChanges(6, 7, 0.5, [["key", 7, b"value"], ["gone", 7, None]]),
     messages.NewsWant(6),
 )
