Cut the processor time of a send

Change: the head of a request is written once, headers of parts are not filtered, a share of connections is computed twice a second, one draw instead of a library choice, no look at a reused connection for repeatable requests.

--- a/packages/cassiastair/cassiastair/forwarding/answer.py
+++ b/packages/cassiastair/cassiastair/forwarding/answer.py
@@ -12,7 +12,7 @@
     status : int
         The target's HTTP status.
     headers : tuple of (bytes, bytes)
-        Its headers, without those that concern one connection.
+        Its headers as received.
     body : bytes
         Its whole body.
     """
--- a/packages/cassiastair/cassiastair/forwarding/choice.py
+++ b/packages/cassiastair/cassiastair/forwarding/choice.py
@@ -60,7 +60,12 @@
         if len(sound) == 1:
             return sound[0]
         odds = [1.0 / self._estimate(c) ** SHARPNESS for c in sound]
-        return self._source.choices(sound, odds)[0]
+        point = self._source.random() * sum(odds)
+        for candidate, part in zip(sound, odds, strict=True):
+            point -= part
+            if point <= 0:
+                return candidate
+        return sound[-1]
 
     def _estimate(self, candidate: RoutedEvidence) -> float:
         """Return the expected wait, relative to a typical one."""
--- a/packages/cassiastair/cassiastair/forwarding/request.py
+++ b/packages/cassiastair/cassiastair/forwarding/request.py
@@ -19,8 +19,10 @@
         Seconds that the caller will wait; None if it did not say.
     received : float
         Time in seconds at which the whole request had been read.
-    message : object
-        The request as read, for the adapter that writes it to targets.
+    head : bytes
+        Beginning of the request to any target, as the adapter words it.
+    body : bytes
+        Body of the request to any target.
     """
 
     attempt: str
@@ -28,4 +30,5 @@
     path: str
     patience: float | None
     received: float
-    message: object
+    head: bytes = b""
+    body: bytes = b""
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -16,7 +16,7 @@
     status : int
         HTTP status.
     headers : tuple of (bytes, bytes)
-        Headers without those that concern one connection.
+        Headers as received.
     body : bytes
         Whole body.
     seal : str or None
--- a/packages/cassiastair/cassiastair/membership/roster.py
+++ b/packages/cassiastair/cassiastair/membership/roster.py
@@ -84,6 +84,10 @@
         """Return all other known VMs."""
         return list(self._vms.values())
 
+    def count(self) -> int:
+        """Return the number of other known VMs."""
+        return len(self._vms)
+
     def live_locals(self) -> list[str]:
         """Return the names of the live VMs of the own data centre."""
         own = self.own.data_centre
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -93,7 +93,7 @@
         """Return a new request."""
         self._count += 1
         attempt = f"r{self._count}"
-        return CallerRequest(attempt, "host", path, patience, self.clock.now(), None)
+        return CallerRequest(attempt, "host", path, patience, self.clock.now())
 
     def run(self, path: str = "/a/x", patience: float = 1.0):
         """Serve a request."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -202,7 +202,7 @@
 
     def count_vms(self) -> int:
         """Return the VMs that share the bounds of targets and budgets."""
-        return max(LEAST_VMS, 1 + len(self.roster.all()))
+        return max(LEAST_VMS, 1 + self.roster.count())
 
     def is_ready(self) -> bool:
         """Tell whether this VM takes work."""
@@ -250,6 +250,7 @@
         heap = Heap()
         while True:
             self.book.tend()
+            self.transport.tend()
             heap.tend(len(self.news))
             eventlet.sleep(TEND_S)
 
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -29,29 +29,12 @@
 
     Parameters
     ----------
-    service : str
-        Service of the target.
-    get_connections : callable
-        Returns the connections of each target of a service.
-    get_vm_count : callable
-        Returns the number of VMs.
+    current : int
+        Connections that may be open now.
     """
 
-    def __init__(
-        self,
-        service: str,
-        get_connections: Callable[[str], int],
-        get_vm_count: Callable[[], int],
-    ):
-        self._service = service
-        self._get_connections = get_connections
-        self._get_vm_count = get_vm_count
-
-    @property
-    def current(self) -> int:
-        """Connections that may be open now."""
-        share = self._get_connections(self._service) // max(1, self._get_vm_count())
-        return max(FEWEST_CONNECTIONS, share)
+    def __init__(self, current: int):
+        self.current = current
 
     def succeeded(self, in_flight: int, crowding: float) -> None:
         """Take no note: the share does not follow the load."""
@@ -87,7 +70,7 @@
         self._get_connections = get_connections
         self._get_vm_count = get_vm_count
         self._pools: dict[str, TargetPool] = {}
-        self.opened = 0
+        self._shares: dict[str, VmShare] = {}
 
     def send(
         self, target: RoutedTarget, request: CallerRequest, deadline: float, once: bool
@@ -140,7 +123,7 @@
         """Take a connection; one that was idle for long is not used for a write."""
         try:
             while True:
-                connection = pool.take(look=True)
+                connection = pool.take(look=once)
                 idle = self._clock.now() - connection.answered_at
                 if not once or idle < ONCE_IDLE_S:
                     return connection
@@ -155,11 +138,28 @@
             return pool
         if pool is not None:
             pool.close()
-        limit = VmShare(target.service, self._get_connections, self._get_vm_count)
-        pool = TargetPool(target, limit, self._clock)
+        share = self._shares.get(target.service)
+        if share is None:
+            share = VmShare(self._compute_share(target.service))
+            self._shares[target.service] = share
+        pool = TargetPool(target, share, self._clock)
         self._pools[target.name] = pool
         return pool
 
+    def _compute_share(self, service: str) -> int:
+        """Return the connections that this VM may have to one target."""
+        share = self._get_connections(service) // max(1, self._get_vm_count())
+        return max(FEWEST_CONNECTIONS, share)
+
+    def tend(self) -> None:
+        """Follow the number of VMs and the configuration; forget idle services."""
+        used = {pool.target.service for pool in self._pools.values()}
+        for service in list(self._shares):
+            if service in used:
+                self._shares[service].current = self._compute_share(service)
+            else:
+                del self._shares[service]
+
     def has_room(self, target: RoutedTarget) -> bool:
         """Tell whether a request to a target need not wait for a connection."""
         pool = self._pools.get(target.name)
