--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -17,7 +17,7 @@
 from .dialect import Dialect
 from .full_reply_reader import FullReplyReader
 
-IDLE_SHARE = 0.7  # part of a target's idle time-out for which a connection is used
+IDLE_SHARE = 0.9  # part of a target's idle time-out for which a connection is used
 ONCE_IDLE_S = 1.0  # the same for requests that must not run twice, at most
 LEAST_LEFT_S = 0.002  # time below which a send cannot be answered any more
 PROBE_TIMEOUT_S = 0.3  # many times the way to any data centre of a region and back
