Metrics page, tests of the entry; never wait for a full log pipe; close connections once

Faults found by tests: (1) eventlet's os.write waits for a full pipe, so a log that nobody reads would have stopped tasks: the system's own call is used. (2) A socket closed by one task while another reads it leaves that reader registered for the descriptor, whatever it is used for next (eventlet: 'Second simultaneous read'): the closing task only shuts the connection down.

--- a/packages/cassiastair/cassiastair/forwarding/__init__.py
+++ b/packages/cassiastair/cassiastair/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from .repeat_budget import RepeatBudget
 from .request import CallerRequest
 from .routed_target import RoutedTarget
+from .send_counts import SendCounts
 from .transport import TargetReply, TargetTransport
 
 __all__ = [
@@ -22,6 +23,7 @@
     "PartsAnswer",
     "RepeatBudget",
     "RoutedTarget",
+    "SendCounts",
     "TargetBook",
     "TargetReply",
     "TargetTransport",
--- a/packages/cassiastair/cassiastair/forwarding/book.py
+++ b/packages/cassiastair/cassiastair/forwarding/book.py
@@ -116,6 +116,10 @@
         """Tell whether a target of a service can be asked with a chance."""
         return any(not e.unreachable for e in self.candidates(service))
 
+    def count_unreachable(self) -> int:
+        """Return the number of targets that cannot be reached now."""
+        return sum(1 for e in self._live.values() if e.unreachable)
+
     def suspects(self, now: float, silence: float) -> list[RoutedEvidence]:
         """Return the targets that may be out of reach.
 
--- a/packages/cassiastair/cassiastair/forwarding/parts.py
+++ b/packages/cassiastair/cassiastair/forwarding/parts.py
@@ -9,6 +9,7 @@
 from .decisions import DecisionLog
 from .latencies import KindLatencies
 from .repeat_budget import RepeatBudget
+from .send_counts import SendCounts
 from .transport import TargetTransport
 
 
@@ -32,6 +33,8 @@
         Latencies of each kind of request.
     decisions : DecisionLog
         Takes what is decided about requests.
+    counts : SendCounts
+        Counts sends.
     clock : Clock
         Source of time.
     """
@@ -43,4 +46,5 @@
     budget: RepeatBudget
     latencies: KindLatencies
     decisions: DecisionLog
+    counts: SendCounts
     clock: Clock
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -63,6 +63,7 @@
     def start(self, request: CallerRequest, deadline: float, once: bool, tell) -> None:
         """Send; `tell` is called with this object when an outcome is there."""
         self.evidence.began(self, self.started)
+        self._parts.counts.began(self.reason)
         self._task = spawn_n(self._run, request, deadline, once, tell)
 
     def _run(self, request: CallerRequest, deadline: float, once: bool, tell) -> None:
@@ -81,6 +82,7 @@
             reply = self._parts.transport.send(target, request, deadline, once)
         except TargetFailure as failure:
             self._learn_failure(failure)
+            self._parts.counts.ended(type(failure).__name__)
             return failure
         except Exception as error:
             self._parts.decisions.warn(
@@ -90,8 +92,10 @@
         now = self._parts.clock.now()
         if reply.succeeded:
             self.evidence.answered(self._kind.observe(now - self.started), now)
+            self._parts.counts.ended("answered")
         else:
             self.evidence.failed(now)
+            self._parts.counts.ended("failed_at_target")
         return reply
 
     def _learn_failure(self, failure: TargetFailure) -> None:
@@ -105,6 +109,7 @@
             waited = self._parts.clock.now() - self.started
             self.evidence.waited(waited / max(self._kind.typical, 1e-4))
             self.evidence.failed(self._parts.clock.now())
+            self._parts.counts.ended("stopped")
             hubs.get_hub().schedule_call_global(0, self._task.throw)
 
 
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -9,6 +9,7 @@
     ForwardingParts,
     RepeatBudget,
     RoutedTarget,
+    SendCounts,
     TargetBook,
 )
 from ..forwarding.choice import RoutedChooser
@@ -72,6 +73,7 @@
             budget=self.budget,
             latencies=KindLatencies(clock),
             decisions=self.log,
+            counts=SendCounts(),
             clock=clock,
         )
         self.forwarder = Forwarder(self.parts)
--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -1,7 +1,10 @@
 """One connection of a caller: a task that reads, a task that serves."""
 
+from contextlib import suppress
+
 import eventlet
 from cassiastair.errors import CassiastairError, MalformedRequestError
+from eventlet.green import socket
 from greenlet import GreenletExit
 
 from .handler import RequestHandler
@@ -64,10 +67,9 @@
                 self._take(data)
         except (OSError, EOFError):
             pass  # a reset, or a close by the serving task, ends it like the caller's
-        except GreenletExit:
-            return
         finally:
             self._end_reading()
+            self._sock.close()
 
     def _take(self, data: bytes) -> None:
         """Parse received bytes and serve what is whole."""
@@ -130,21 +132,26 @@
     def _end_reading(self) -> None:
         """Stop the work of a caller that has left; let a last answer leave."""
         server = self._server
-        if server is not None and not self._closing:
-            server.kill()
-        if self._server is None:
-            self._shut()
+        if server is not None:
+            if not self._closing:
+                server.kill()
+            with suppress(GreenletExit):
+                server.wait()
+        self._shut()
 
     def _shut(self) -> None:
-        """Close the connection."""
+        """End the connection; the reading task sees its end and closes it.
+
+        Were it closed here, the event loop would keep the reading task registered
+        for the descriptor, whatever that is used for next.
+        """
         if not self.closed:
             self.closed = True
             self._handler.closed(self)
             try:
-                self._sock.shutdown(2)
+                self._sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass  # the caller has closed it already
-            self._sock.close()
 
     def tend(self, now: float) -> None:
         """Close a connection that is idle, or slow with a request, for too long."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -12,6 +12,7 @@
     Forwarder,
     ForwardingParts,
     RepeatBudget,
+    SendCounts,
     TargetBook,
 )
 from cassiastair.forwarding.choice import RoutedChooser
@@ -30,6 +31,7 @@
     NewsSource,
     NewsTable,
 )
+from cassiastair.pauses import PauseDetector
 from cassiastair.routing import RoutingTable
 
 from ..drain import Drain
@@ -42,12 +44,14 @@
 from .entry_settings import EntrySettings
 from .event_log import EventLog
 from .item_decoder import ItemDecoder
+from .metrics_page import MetricsPage
 from .news_intake import NewsIntake
 from .ready_server import ReadyServer
 from .request_counts import RequestCounts
 from .routed_transport import RoutedTransport
 
 BACKLOG = 1024
+METRICS_PORT = int(os.environ.get("CASSIASTAIRD_METRICS_PORT", "9102"))
 TEND_S = 0.5  # interval of looks at leaving targets and the heap
 LEAST_VMS = 7  # VMs assumed to share bounds until more are known
 DEFAULT_CONNECTIONS = 16  # connections of a target whose service states no limit
@@ -86,12 +90,18 @@
         self.log = EventLog(settings.vm, self._clock)
         self.drain = Drain()
         self.counts = RequestCounts()
+        self.pauses = PauseDetector(self._clock)
+        self.lag = 0.0
         self.own = self._make_own()
         self._wire_forwarding(dialect)
         self._wire_news(decoder, open_store(*settings.store_address))
         self._listeners = [
             eventlet.listen(address, backlog=BACKLOG)
-            for address in (settings.caller_address, settings.ready_address)
+            for address in (
+                settings.caller_address,
+                settings.ready_address,
+                (settings.host, METRICS_PORT),
+            )
         ]
         self._peer_server = PeerServer(*settings.peer_address)
 
@@ -131,6 +141,7 @@
             budget=RepeatBudget(self._clock, bounds, self.count_vms),
             latencies=KindLatencies(self._clock),
             decisions=self.log,
+            counts=SendCounts(),
             clock=self._clock,
         )
         self.parts = parts
@@ -210,18 +221,44 @@
             return False
         return len(self.book) > 0 and self.reach.is_enough()
 
-    def render_metrics(self) -> bytes:
-        """Return the metrics page."""
-        return b""
+    def _make_metrics(self) -> MetricsPage:
+        """Return the metrics page with all readings."""
+        page = MetricsPage(self.counts)
+        sends = self.parts.counts
+        page.add_table("sends_total", "Sends by reason.", "reason", sends.by_reason)
+        page.add_table("send_ends_total", "Ends of sends.", "end", sends.by_outcome)
+        add = page.add_gauge
+        add("configuration_version", "In force.", lambda: self.table.version)
+        add("news_revision", "Known completely.", lambda: self.news.revision)
+        add("news_age_seconds", "Age of the store's word.", self._read_age)
+        add("store_calls", "Calls of the store.", lambda: self.store.calls)
+        add("store_reading", "Whether this VM reads.", lambda: self.turns.reading)
+        add("targets", "Targets that may get work.", lambda: len(self.book))
+        add("targets_out_of_reach", "Of them.", self.book.count_unreachable)
+        add("peer_links", "Open links.", lambda: len(self.node.links))
+        add("known_vms", "VMs that share bounds.", self.count_vms)
+        add("requests_in_progress", "Now.", lambda: self.drain.in_progress)
+        add("connections_opened", "To targets.", self.transport.count_opened)
+        add("items_refused", "Items not decoded.", lambda: self.intake.refused)
+        add("log_lines_dropped", "Lines not written.", lambda: self.log.dropped)
+        add("pauses", "Pauses of the process.", lambda: self.pauses.pauses)
+        add("loop_lag_seconds", "Last lateness of a timer.", lambda: self.lag)
+        return page
+
+    def _read_age(self) -> float:
+        """Return the age of the store's word, -1 before the first."""
+        age = self.freshness.age
+        return -1.0 if age == float("inf") else age
 
     def start(self) -> None:
         """Start every task; returns at once."""
-        callers, questions = self._listeners
+        callers, questions, metrics = self._listeners
         self._peer_server.start(self.node, self.forwarder)
-        ready = ReadyServer(self.is_ready, self.render_metrics)
+        ready = ReadyServer(self.is_ready, self._make_metrics().render)
         for task, *inputs in (
             (self.server.run, callers),
             (ready.run, questions),
+            (ready.run, metrics),
             (self.keeper.run,),
             (self.reader.run, self._may_wait()),
             (self.prober.run,),
@@ -252,7 +289,13 @@
             self.book.tend()
             self.transport.tend()
             heap.tend(len(self.news))
+            due = self._clock.now() + TEND_S
             eventlet.sleep(TEND_S)
+            self.lag = max(0.0, self._clock.now() - due)
+            paused = self.pauses.pauses
+            self.pauses.check()
+            if self.pauses.pauses > paused:
+                self.log.warn("paused", "", lag_ms=round(self.lag * 1000))
 
     def reload(self, read_settings) -> None:
         """Take the settings that may change while the daemon runs."""
--- /dev/null
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -0,0 +1,286 @@
+"""Tests of the entry's parts: reading requests, connections, news, and logs."""
+
+from unittest import mock
+
+import eventlet
+import orjson
+from cassiastair.clock import ManualClock
+from cassiastair.errors import (
+    CassiastairError,
+    MalformedRequestError,
+    NoTargetError,
+    TooLargeError,
+)
+from cassiastair.routing import CallerLimits
+from eventlet import hubs, patcher
+from eventlet.green import socket
+from testtools import TestCase
+
+from .caller_connection import CallerConnection
+from .event_log import BURST, EventLog
+from .full_reply_reader import FullReplyReader
+from .handler import RequestHandler
+from .http_message import HttpReply, HttpRequest
+from .request_reader import HeadersTooLargeError, RequestReader
+
+os = patcher.original("os")  # its reads tell at once that a pipe is empty
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class TestRequestReader(TestCase):
+    """Requests from the bytes of a connection."""
+
+    def setUp(self):
+        super().setUp()
+        self.reader = RequestReader(CallerLimits(header_bytes=200, body_bytes=50))
+
+    def read(self, data: bytes, step: int = 10_000) -> list[HttpRequest]:
+        """Feed bytes in steps; return the whole requests."""
+        for start in range(0, len(data), step):
+            self.reader.feed(data[start : start + step])
+        return [request for request, _ in self.reader.requests]
+
+    def test_byte_by_byte(self):
+        post = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+        found = self.read(GET + post + GET, step=1)
+        assert [(r.method, r.url, r.body) for r in found] == [
+            (b"GET", b"/a", b""),
+            (b"POST", b"/b", b"abc"),
+            (b"GET", b"/a", b""),
+        ]
+
+    def test_chunks(self):
+        post = b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        assert self.read(post + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")[0].body == b"abcde"
+
+    def test_limits(self):
+        long = b"GET /a HTTP/1.1\r\nX: " + b"y" * 300
+        self.assertRaises(HeadersTooLargeError, self.read, long + b"\r\n\r\n")
+        self.reader = RequestReader(CallerLimits(header_bytes=200, body_bytes=50))
+        self.assertRaises(HeadersTooLargeError, self.read, long + b"z" * 300, 20)
+        head = b"POST /b HTTP/1.1\r\nHost: h\r\n"
+        for rest in (
+            b"Content-Length: 51\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n40\r\n" + b"x" * 64,
+        ):
+            self.reader = RequestReader(CallerLimits(header_bytes=200, body_bytes=50))
+            self.assertRaises(TooLargeError, self.read, head + rest)
+
+    def test_bytes_that_are_no_request(self):
+        for data in (
+            b"\x00\x01",
+            b"POST /b HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            b"POST /b HTTP/1.1\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+        ):
+            self.reader = RequestReader(CallerLimits())
+            self.assertRaises(MalformedRequestError, self.read, data)
+
+    def test_requests_before_bad_bytes_stand(self):
+        self.assertRaises(MalformedRequestError, self.read, GET + b"\x00\x01")
+        assert len(self.reader.requests) == 1
+
+
+class TestFullReplyReader(TestCase):
+    """Whole replies of targets."""
+
+    def read(self, *parts: bytes) -> FullReplyReader:
+        """Feed parts."""
+        reader = FullReplyReader()
+        for part in parts:
+            reader.feed(part)
+        return reader
+
+    def test_a_reply_without_a_length_ends_with_its_connection(self):
+        reader = self.read(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", b"body", b"")
+        assert reader.done
+        assert not reader.keeps_open
+        assert reader.make_reply() == HttpReply(200, ((b"A", b"b"),), b"body")
+
+    def test_a_cut_reply_is_a_failure(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"
+        self.assertRaises(OSError, self.read, head, b"")
+        self.assertRaises(OSError, self.read, b"HTTP/1.1 200 OK\r\n", b"")
+
+    def test_bytes_after_a_reply_end_the_connection(self):
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+        reader = self.read(whole + b"HTTP/1.1 200 OK\r\nB: c\r\n")
+        assert not reader.keeps_open
+        assert reader.make_reply() == HttpReply(200, ((b"Content-Length", b"1"),), b"a")
+
+
+class EchoHandler(RequestHandler):
+    """Answers with the request's path, after a pause that a test sets."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.pause = 0.0
+        self.ended = []
+        self.stopping = False
+        self.open = 1
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the usual limits."""
+        return CallerLimits()
+
+    def is_stopping(self) -> bool:
+        """Tell what the test has set."""
+        return self.stopping
+
+    def answer(self, message: HttpRequest) -> HttpReply:
+        """Answer after the pause."""
+        try:
+            eventlet.sleep(self.pause)
+            return HttpReply(200, (), message.url)
+        finally:
+            self.ended.append(message.url)
+
+    def refuse(self, error: CassiastairError) -> HttpReply:
+        """Answer with the error's code."""
+        return HttpReply(error.status, (), error.code.encode())
+
+    def closed(self, connection: object) -> None:
+        """Count the end of the connection."""
+        self.open -= 1
+
+
+class TestCallerConnection(TestCase):
+    """One connection of a caller."""
+
+    def setUp(self):
+        super().setUp()
+        self.handler = EchoHandler()
+        ours, self.caller = socket.socketpair()
+        self.caller.settimeout(5.0)
+        self.fd = ours.fileno()
+        self.connection = CallerConnection(ours, self.handler)
+        self.task = eventlet.spawn(self.connection.run)
+        self.addCleanup(self.caller.close)
+
+    def receive(self) -> bytes:
+        """Return what has come."""
+        return self.caller.recv(65_536)
+
+    def wait_end(self) -> None:
+        """Wait until the connection's tasks have ended."""
+        with eventlet.Timeout(5.0):
+            self.task.wait()
+
+    def test_requests_sent_together_are_answered_in_order(self):
+        self.caller.sendall(GET + GET.replace(b"/a", b"/b"))
+        received = b""
+        while b"/b" not in received:
+            received += self.receive()
+        assert received.index(b"/a") < received.index(b"/b")
+
+    def test_the_work_ends_when_the_caller_leaves(self):
+        self.handler.pause = 60.0
+        self.caller.sendall(GET)
+        eventlet.sleep(0.01)
+        self.caller.close()
+        self.wait_end()
+        assert self.handler.ended == [b"/a"]
+        assert self.handler.open == 0
+
+    def test_no_reader_is_left_on_a_connection_that_this_end_closes(self):
+        self.connection.close_idle()
+        self.wait_end()
+        assert self.receive() == b""
+        readers = hubs.get_hub().get_readers()
+        assert self.fd not in {listener.fileno for listener in readers}
+
+    def test_a_stopping_vm_answers_and_closes(self):
+        self.handler.stopping = True
+        self.caller.sendall(GET)
+        received = self.receive()
+        assert b"Connection: close" in received
+        assert received.endswith(b"/a")
+        self.wait_end()
+
+    def test_bad_bytes_after_a_request_do_not_take_its_answer(self):
+        self.caller.sendall(GET + b"\x00\x01\x02")
+        received = b""
+        while part := self.receive():
+            received += part
+        assert received.count(b"HTTP/1.1 ") == 2
+        assert b" 200 " in received
+        assert b" 400 " in received
+
+    def test_idle_and_slow_callers_are_closed(self):
+        self.handler.clock.advance(14.0)
+        self.connection.tend(self.handler.clock.now())
+        assert not self.connection.closed
+        self.handler.clock.advance(1.5)
+        self.connection.tend(self.handler.clock.now())
+        assert self.connection.closed
+
+    def test_a_request_that_does_not_arrive_gets_408(self):
+        self.caller.sendall(b"GET /a HT")
+        eventlet.sleep(0.01)
+        self.handler.clock.advance(3.5)
+        self.connection.tend(self.handler.clock.now())
+        assert b" 408 " in self.receive()
+
+
+class TestEventLog(TestCase):
+    """Structured lines, bounded, never blocking."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.read_end, write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, write_end)
+        stream = mock.Mock()
+        stream.fileno.return_value = write_end
+        with mock.patch("sys.stdout", stream):
+            self.log = EventLog("vm1", self.clock)
+
+    def read(self) -> list[dict]:
+        """Return the lines written."""
+        os.set_blocking(self.read_end, False)
+        try:
+            data = os.read(self.read_end, 1_000_000)
+        except BlockingIOError:
+            return []
+        return [orjson.loads(line) for line in data.splitlines()]
+
+    def test_a_line_has_the_inputs(self):
+        self.log.warn("not served", "r1", code="no_target", version=7)
+        (line,) = self.read()
+        assert line["event"] == "not served"
+        assert (line["request"], line["vm"], line["version"]) == ("r1", "vm1", 7)
+
+    def test_a_kept_request_has_all_its_lines(self):
+        for number in range(200):
+            for _ in range(2):
+                self.log.note("answered", f"r{number}")
+        kept = [line["request"] for line in self.read()]
+        assert 0 < len(set(kept)) < 40
+        assert all(kept.count(request) == 2 for request in kept)
+
+    def test_lines_are_bounded_and_the_rest_counted(self):
+        for number in range(BURST + 50):
+            self.log.warn("not served", f"r{number}")
+            if number % 50 == 0:
+                self.read()
+        self.read()
+        assert self.log.dropped == 50
+        self.clock.advance(1.0)
+        self.log.warn("not served", "last")
+        assert self.read()[-1]["dropped"] == 50
+
+    def test_a_full_pipe_drops_and_never_blocks(self):
+        for _ in range(40):
+            for _ in range(100):
+                self.log.warn("not served", "r", reason="x" * 200)
+            self.clock.advance(1.0)
+        assert self.log.dropped > 0
+
+
+class TestErrors(TestCase):
+    """What callers are told."""
+
+    def test_refusals_say_that_nothing_ran(self):
+        assert NoTargetError("none", 0.5).outcome == "not_run"
--- a/packages/cassiastaird/cassiastaird/entry/event_log.py
+++ b/packages/cassiastaird/cassiastaird/entry/event_log.py
@@ -1,6 +1,5 @@
 """Structured log lines on standard output, bounded and never blocking."""
 
-import os
 import sys
 import time
 import traceback
@@ -9,6 +8,9 @@
 import orjson
 from cassiastair.clock import Clock
 from cassiastair.forwarding import DecisionLog
+from eventlet import patcher
+
+os = patcher.original("os")  # the library's own write waits for a full pipe
 
 SAMPLE = 32  # one request in so many has all its lines kept
 LINES_PER_S = 200  # lines a second, about 50 KB
@@ -40,9 +42,13 @@
         self._rest = b""
         self.dropped = 0
 
+    def follows(self, request: str) -> bool:
+        """Tell whether the lines of a request are kept."""
+        return zlib.crc32(request.encode()) % SAMPLE == 0
+
     def note(self, event: str, request: str, **inputs: object) -> None:
         """Record a decision of a sampled request."""
-        if zlib.crc32(request.encode()) % SAMPLE == 0:
+        if self.follows(request):
             self._write(event, request, inputs)
 
     def warn(self, event: str, request: str, **inputs: object) -> None:
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -160,6 +160,10 @@
             else:
                 del self._shares[service]
 
+    def count_opened(self) -> int:
+        """Return the connections opened to the targets of today."""
+        return sum(pool.opened for pool in self._pools.values())
+
     def has_room(self, target: RoutedTarget) -> bool:
         """Tell whether a request to a target need not wait for a connection."""
         pool = self._pools.get(target.name)
--- a/packages/cassiastaird/cassiastaird/peers/websocket_link.py
+++ b/packages/cassiastaird/cassiastaird/peers/websocket_link.py
@@ -3,6 +3,7 @@
 import eventlet
 from cassiastair.errors import PeerProtocolError
 from cassiastair.peers import Call, LinkClosed, MeshNode, Message, PeerLink, Reply
+from eventlet.green import socket
 from eventlet.queue import Full, LightQueue
 from websockets.exceptions import ConnectionClosed
 
@@ -108,11 +109,15 @@
         eventlet.spawn_n(self._close_websocket)
 
     def _close_websocket(self) -> None:
-        """Close the connection at once, without waiting for the peer's word."""
+        """End the connection at once, without waiting for the peer's word.
+
+        The library's task that reads sees the end and closes the socket; were it
+        closed here, that task would stay registered for the descriptor.
+        """
         try:
-            self._websocket.socket.close()
+            self._websocket.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
-            return
+            return  # it is closed already
 
     def _log(self, event: str, error: Exception) -> None:
         """Log the end of the link."""
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import eventlet
+from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
 from .http import Message, Wire, write_message
@@ -106,7 +107,7 @@
         self.runs: list[Run] = []
         self.draining_since: float | None = None
         self.stopped = False
-        eventlet.spawn_n(self._accept)
+        self._acceptor = eventlet.spawn(self._accept)
 
     def register(self, state: str = "ready") -> None:
         """Write the entry to the store."""
@@ -134,9 +135,13 @@
     def stop(self) -> None:
         """End at once, as a crash does."""
         self.stopped = True
+        self._acceptor.kill()
         self._listener.close()
         for sock in list(self._sockets):
-            sock.close()
+            try:
+                sock.shutdown(socket.SHUT_RDWR)  # its task sees the end and closes it
+            except OSError:
+                continue  # the caller has closed it already
 
     def _accept(self) -> None:
         """Serve connections until the end."""
--- a/standins/world/fleet.py
+++ b/standins/world/fleet.py
@@ -51,7 +51,7 @@
     name: str
     zone: str
     host: str
-    ports: tuple[int, int, int]
+    ports: tuple[int, int, int, int]
     settings: Path
     log: Path
     process: subprocess.Popen | None = None
@@ -113,13 +113,13 @@
 
     def add_vms(self, count: int, store: tuple[str, int] | None = None) -> None:
         """Make settings for VMs; the first three are the seeds of all."""
-        ports = find_ports(3 * count)
-        first = ports[2 : 3 * min(count, 3) : 3]
+        ports = find_ports(4 * count)
+        first = ports[2 : 4 * min(count, 3) : 4]
         seeds = ", ".join(f'"127.0.0.1:{port}"' for port in first)
         address = store or self.store.address
         for number in range(count):
             name = f"vm{number}"
-            own = tuple(ports[3 * number : 3 * number + 3])
+            own = tuple(ports[4 * number : 4 * number + 4])
             settings = self.folder / f"{name}.toml"
             zone = ZONES[number % len(ZONES)]
             settings.write_text(
@@ -140,7 +140,11 @@
     def start(self, name: str) -> None:
         """Start a VM's process."""
         vm = self.vms[name]
-        env = {**os.environ, "CASSIASTAIR_BOOT": str(vm.settings)}
+        env = {
+            **os.environ,
+            "CASSIASTAIR_BOOT": str(vm.settings),
+            "CASSIASTAIRD_METRICS_PORT": str(vm.ports[3]),
+        }
         with vm.log.open("ab") as log:
             vm.process = subprocess.Popen(
                 [sys.executable, "deploy/start.py"],
@@ -176,6 +180,16 @@
         finally:
             sock.close()
 
+    def read_metrics(self, name: str) -> str:
+        """Return a VM's metrics page."""
+        vm = self.vms[name]
+        sock = eventlet.connect((vm.host, vm.ports[3]))
+        try:
+            sock.sendall(write_message("GET /metrics HTTP/1.1", {"Host": HOST}))
+            return Wire(sock).read().body.decode()
+        finally:
+            sock.close()
+
     def wait_ready(self, name: str, limit: float = START_LIMIT_S) -> None:
         """Wait until a VM is ready.
 
@@ -214,6 +228,8 @@
                 vm.process.wait()
         for back_end in self.back_ends.values():
             back_end.stop()
+        self.store.stop()
+        eventlet.sleep(POLL_S)
 
     def __enter__(self) -> "World":
         return self
--- a/standins/world/store.py
+++ b/standins/world/store.py
@@ -7,6 +7,7 @@
 import eventlet
 import orjson
 from eventlet.event import Event
+from eventlet.green import socket
 
 from .http import Wire, write_message
 
@@ -45,7 +46,18 @@
         self.delay = 0.0
         self.calls = 0
         self._changed = Event()
-        eventlet.spawn_n(self._accept)
+        self._acceptor = eventlet.spawn(self._accept)
+        self._sockets: set = set()
+
+    def stop(self) -> None:
+        """Stop listening and end all connections."""
+        self._acceptor.kill()
+        self._listener.close()
+        for sock in list(self._sockets):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)  # its task sees the end and closes it
+            except OSError:
+                continue  # the reader has closed it already
 
     def put(self, key: str, value: object) -> int:
         """Write a JSON value, or bytes as they are; return the revision."""
@@ -83,6 +95,7 @@
     def _serve(self, sock, peer: str) -> None:
         """Answer the calls on one connection."""
         wire = Wire(sock)
+        self._sockets.add(sock)
         try:
             while (call := wire.read()) is not None:
                 self.calls += 1
@@ -96,6 +109,7 @@
         except OSError:
             return  # the reader has left
         finally:
+            self._sockets.discard(sock)
             sock.close()
 
     def _refuse(self, fault: str) -> bytes:
--- a/standins/world/world_test.py
+++ b/standins/world/world_test.py
@@ -84,6 +84,19 @@
         address = self.world.vms["vm0"].callers
         assert self.caller.call(address, "/none/x").status == 404
 
+    def test_metrics(self):
+        self.world.start_all()
+        self.search()
+        page = self.world.read_metrics("vm0")
+        for line in (
+            'cassiastair_answers_total{route="search"} 1',
+            'cassiastair_sends_total{reason="first"} 6',
+            f"cassiastair_configuration_version {self.world.version}",
+            'cassiastair_request_seconds_count{route="search"} 1',
+            'cassiastair_covered_share_bucket{le="1.0"} 1',
+        ):
+            assert line in page, page
+
     def test_no_configuration_is_503_and_not_ready(self):
         self.world.store.remove("op/config")
         self.world.start("vm0")
