--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -110,7 +110,7 @@
 
 
 def check_configuration(world: World, record: Record) -> list[str]:
-    """Configurations are in force after the bound, and never go back."""
+    """Check that configurations are in force after the bound and never go back."""
     broken = []
     for outcome in record.searches:
         if outcome.status != 200:
