--- a/packages/cassiactl/cassiactl/main.py
+++ b/packages/cassiactl/cassiactl/main.py
@@ -9,6 +9,7 @@
 from .daemon_client import UnreachableError
 from .exit_status import ExitStatus
 from .explain import explain
+from .follow import follow
 from .report import Report
 from .state import show_state
 from .tickets import show_tickets
@@ -80,6 +81,20 @@
         """
         finish(lambda: explain(daemon, str(name)), json)
 
+    def follow(self, file: str, request: str, json: bool = False) -> None:
+        """Follow a request through the daemons' logs, with the beliefs in force.
+
+        Parameters
+        ----------
+        file : str
+            File with log lines of one or more VMs; - for standard input.
+        request : str
+            Identity of the caller's attempt.
+        json : bool
+            Print JSON.
+        """
+        finish(lambda: follow(str(file), str(request)), json)
+
 
 def finish(run, as_json: bool) -> None:
     """Run a command, print its report and leave with its status."""
