Answer early enough for the caller's own way

Change: the connection's measured round trip (twice for its first request) and 5 ms. Also: 0.15 of the slack in the first window after a start; with 0.8 used by the last run the sum stays within the bound.

--- a/packages/cassiastair/cassiastair/forwarding/answer_time.py
+++ b/packages/cassiastair/cassiastair/forwarding/answer_time.py
@@ -4,7 +4,7 @@
 
 from ..routing import Route
 
-MARGIN_S = 0.010  # time kept for the way back to the caller and for the merge
+MARGIN_S = 0.005  # time kept for the merge, and for timers that fire late
 LATE_FACTOR = 2.0  # multiple of the objective until which a late search waits on
 FINISH_MARGIN_S = 0.040  # time before the deadline at which a final answer leaves
 
@@ -38,7 +38,13 @@
     deadline: float
 
     @classmethod
-    def plan(cls, route: Route, received: float, patience: float | None):
+    def plan(
+        cls,
+        route: Route,
+        received: float,
+        patience: float | None,
+        travel: float = 0.0,
+    ):
         """Return the times of one search.
 
         Parameters
@@ -49,9 +55,11 @@
             Time at which the request was read.
         patience : float or None
             Seconds that the caller will wait.
+        travel : float
+            Seconds on the way from and to the caller, who counts them too.
         """
         deadline = find_deadline(route, received, patience)
-        objective = received + route.objective - MARGIN_S
+        objective = received + route.objective - MARGIN_S - travel
         late = received + LATE_FACTOR * route.objective
         return cls(min(objective, deadline), min(late, deadline), deadline)
 
--- a/packages/cassiastair/cassiastair/forwarding/repeat_budget.py
+++ b/packages/cassiastair/cassiastair/forwarding/repeat_budget.py
@@ -8,6 +8,7 @@
 BUCKETS = 10  # parts of the window that are counted apart
 RATIO_USED = 0.8  # used part of the allowed ratio; the rest covers unequal windows
 SLACK_USED = 0.8  # used part of the fixed allowance; the rest covers late word of VMs
+FRESH_SLACK_USED = 0.15  # the same in the first window, beside what the last run used
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +36,7 @@
     A VM uses the ratio on its own requests and its equal part of the slack. The
     sum over all VMs keeps within the bounds whichever VM the requests reach, and
     stays so while VMs cannot hear one another. A VM that has just started does not
-    know what its last run has used, so it has no part of the slack for one window.
+    know what its last run has used, so it has little of the slack for one window.
 
     Parameters
     ----------
@@ -80,9 +81,9 @@
 
     def _allowance(self, window: "_Window") -> float:
         """Return the repeats that may stand in the window."""
-        slack = 0.0
-        if self._clock.now() >= self._full_at:
-            slack = self._bounds.slack * SLACK_USED / max(1, self._get_vm_count())
+        is_fresh = self._clock.now() < self._full_at
+        used = FRESH_SLACK_USED if is_fresh else SLACK_USED
+        slack = self._bounds.slack * used / max(1, self._get_vm_count())
         return self._bounds.ratio * RATIO_USED * window.requests + slack
 
     def _find(self, service: str) -> "_Window":
--- a/packages/cassiastair/cassiastair/forwarding/request.py
+++ b/packages/cassiastair/cassiastair/forwarding/request.py
@@ -19,6 +19,8 @@
         Seconds that the caller will wait; None if it did not say.
     received : float
         Time in seconds at which the whole request had been read.
+    travel : float
+        Seconds that the request took to arrive and that its answer will take.
     head : bytes
         Beginning of the request to any target, as the adapter words it.
     body : bytes
@@ -30,5 +32,6 @@
     path: str
     patience: float | None
     received: float
+    travel: float = 0.0
     head: bytes = b""
     body: bytes = b""
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -63,7 +63,9 @@
         self._request = request
         self._kind = parts.latencies.get(route)
         self._delay = self._kind.hedge_delay()
-        self._times = AnswerTime.plan(route, request.received, request.patience)
+        self._times = AnswerTime.plan(
+            route, request.received, request.patience, request.travel
+        )
         self._needed = max(1, math.ceil(route.lowest_share * len(route.shards) - 1e-9))
         self._shards = [ShardState(name) for name in route.shards]
         self._open = len(self._shards)
--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -1,5 +1,6 @@
 """One connection of a caller: a task that reads, a task that serves."""
 
+import struct
 from contextlib import suppress
 
 import eventlet
@@ -12,6 +13,9 @@
 from .request_reader import RequestReader
 
 RECEIVE_BYTES = 65_536
+TCP_INFO_BYTES = 104  # the part of Linux's tcp_info that holds the round trip
+ROUND_TRIP_OFFSET = 68  # tcpi_rtt, in microseconds
+ROUND_TRIP = struct.Struct("=I")
 MAX_WAITING = 16  # whole requests read ahead on one connection
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {
@@ -50,6 +54,7 @@
         self._server = None
         self._closing = False
         self._active_at = handler.clock.now()
+        self._round_trip: float | None = None
         self.closed = False
 
     @property
@@ -101,7 +106,7 @@
             while self._reader.requests:
                 message, keeps = self._reader.requests.popleft()
                 keeps = keeps and not self._handler.is_stopping()
-                reply = self._handler.answer(message)
+                reply = self._handler.answer(message, self._measure_travel())
                 keeps = keeps and not self._handler.is_stopping()
                 self._send(reply, keeps)
                 if not keeps:
@@ -117,6 +122,17 @@
             if self._closing:
                 self._shut()
 
+    def _measure_travel(self) -> float:
+        """Return the seconds on the way from and to the caller.
+
+        The first request of a connection had to wait for its opening, one more way
+        there and back.
+        """
+        if self._round_trip is None:
+            self._round_trip = read_round_trip(self._sock)
+            return 2 * self._round_trip
+        return self._round_trip
+
     def _send(self, reply: HttpReply, keeps: bool) -> None:
         """Write a reply."""
         reason = REASONS.get(reply.status, b"Status")
@@ -184,3 +200,12 @@
         if self.is_idle:
             self._closing = True
             self._shut()
+
+
+def read_round_trip(sock) -> float:
+    """Return the system's estimate of a connection's round trip in seconds."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        return ROUND_TRIP.unpack_from(info, ROUND_TRIP_OFFSET)[0] / 1e6
+    except (OSError, struct.error):
+        return 0.0  # not a TCP connection, or a system that does not tell
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -115,19 +115,21 @@
         for connection in list(self._connections):
             connection.close_idle()
 
-    def answer(self, message: HttpRequest) -> HttpReply:
+    def answer(self, message: HttpRequest, travel: float) -> HttpReply:
         """Answer a request."""
         received = self.clock.now()
         with self._drain.request():
             try:
-                return self._forward(message, received)
+                return self._forward(message, received, travel)
             except CassiastairError as error:
                 self._note_refusal("", "", received, error)
                 return self._dialect.write_error(error)
 
-    def _forward(self, message: HttpRequest, received: float) -> HttpReply:
+    def _forward(
+        self, message: HttpRequest, received: float, travel: float
+    ) -> HttpReply:
         """Decode and serve a request."""
-        request = self._dialect.read_request(message, received)
+        request = self._dialect.read_request(message, received, travel)
         route = None
         try:
             route = self._forwarder.find_route(request)
--- a/packages/cassiastaird/cassiastaird/entry/dialect.py
+++ b/packages/cassiastaird/cassiastaird/entry/dialect.py
@@ -17,9 +17,20 @@
     """Translates between HTTP messages and the product's types; decides nothing."""
 
     @abstractmethod
-    def read_request(self, message: HttpRequest, received: float) -> CallerRequest:
+    def read_request(
+        self, message: HttpRequest, received: float, travel: float
+    ) -> CallerRequest:
         """Decode a caller's request.
 
+        Parameters
+        ----------
+        message : HttpRequest
+            The request.
+        received : float
+            Time in seconds at which it had been read.
+        travel : float
+            Seconds on the way from and to the caller.
+
         Raises
         ------
         MalformedRequestError
--- a/packages/cassiastaird/cassiastaird/entry/handler.py
+++ b/packages/cassiastaird/cassiastaird/entry/handler.py
@@ -30,8 +30,16 @@
         """Tell whether connections are to be closed after their answers."""
 
     @abstractmethod
-    def answer(self, message: HttpRequest) -> HttpReply:
-        """Answer a request; every failure becomes a reply."""
+    def answer(self, message: HttpRequest, travel: float) -> HttpReply:
+        """Answer a request; every failure becomes a reply.
+
+        Parameters
+        ----------
+        message : HttpRequest
+            The request.
+        travel : float
+            Seconds on the way from and to the caller.
+        """
 
     @abstractmethod
     def refuse(self, error: CassiastairError) -> HttpReply:
