--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	$(BIN)/python -m standins.soak --seeds $(or $(SEEDS),3) $(if $(SEED),--seed $(SEED))
 
 golden: setup
-	RECORD_GOLDEN=1 $(BIN)/python -m pytest -q standins/golden_test.py
+	RECORD_GOLDEN=1 $(BIN)/python -m pytest -q standins/golden_test.py standins/world/golden_test.py
 
 settings: setup
 	$(BIN)/python -m cassiastaird.settings_page > docs/SETTINGS.md
--- a/packages/cassiastair/cassiastair/membership/membership_test.py
+++ b/packages/cassiastair/cassiastair/membership/membership_test.py
@@ -6,7 +6,7 @@
 
 from ..clock import ManualClock
 from ..data import Vm
-from ..platform import (
+from ..ticket_source import (
     PlatformEntry,
     PlatformError,
     PlatformPage,
--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -11,7 +11,6 @@
 from cassiastair.once.writer import Writer
 from cassiastair.pauses import PauseDetector
 from cassiastair.peers import PeerNode
-from cassiastair.platform import PlatformReader
 from cassiastair.search import SearchEngine, SearchParts, ServiceTails
 from cassiastair.search.observer import TargetObserver
 from cassiastair.snapshots import HeldTable
@@ -21,6 +20,7 @@
     ReportChooser,
     TargetFleet,
 )
+from cassiastair.ticket_source import PlatformReader
 from cassiastair.tickets import StateMap
 from eventlet import wsgi
 from loguru import logger
@@ -34,13 +34,13 @@
 from .heap import Heap
 from .metrics import Metrics
 from .peers import LinkKeeper, PeerServer
-from .platform import HttpPlatform
 from .protocol import ApiProtocol
 from .settings import Settings, parse_peers
 from .status import Status
 from .target_keeper import TargetKeeper
 from .targets import HttpTargetClient
 from .ticket_intake import TicketIntake
+from .ticket_source import HttpPlatform
 from .trace_store import TraceStore
 
 CHOOSERS = {
--- a/packages/cassiastaird/cassiastaird/status.py
+++ b/packages/cassiastaird/cassiastaird/status.py
@@ -9,9 +9,9 @@
 from cassiastair.membership import Freshness, LeavingTargets
 from cassiastair.pauses import PauseDetector
 from cassiastair.peers import PeerNode
-from cassiastair.platform import PlatformReader
 from cassiastair.snapshots import HeldTable
 from cassiastair.targets import TargetFleet
+from cassiastair.ticket_source import PlatformReader
 from cassiastair.tickets import StateMap
 
 from .drain import Drain
--- a/packages/cassiastaird/cassiastaird/ticket_intake.py
+++ b/packages/cassiastaird/cassiastaird/ticket_intake.py
@@ -4,7 +4,7 @@
 
 from cassiastair.membership import Roster
 from cassiastair.peers import PeerNode
-from cassiastair.platform import PlatformEntry, parse_vm_list
+from cassiastair.ticket_source import PlatformEntry, parse_vm_list
 from cassiastair.tickets import TicketProblem, parse_ticket
 from loguru import logger
 
--- a/packages/cassiastaird/cassiastaird/platform/client.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/client.py
@@ -1,8 +1,8 @@
-"""The client of the platform's read-and-watch protocol, see docs/PLATFORM.md."""
+"""The client of the platform's read-and-watch protocol, see docs/TICKET-SOURCE.md."""
 
 import orjson
 import urllib3
-from cassiastair.platform import (
+from cassiastair.ticket_source import (
     PlatformEntry,
     PlatformError,
     PlatformPage,
