--- a/packages/cassiastair/cassiastair/forwarding/book_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/book_test.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from testtools import TestCase
 
 from ..clock import ManualClock
@@ -40,6 +41,10 @@
         self.book.remove("b")
         assert sorted(self.names()) == ["a", "b"]
 
+    @pytest.mark.proof(
+        promise="leaving targets",
+        failure="routes: the entry is gone without a word",
+    )
     def test_the_last_resort_ends_within_the_drain_bound(self):
         self.book.put(make_target("a", "s"))
         self.book.remove("a")
--- a/packages/cassiastair/cassiastair/forwarding/budget_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/budget_test.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -22,6 +23,10 @@
         for seed in range(6):
             self.play(random.Random(seed), restarts=False)
 
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="greedy VMs restart, uneven load",
+    )
     def test_so_they_do_when_vms_restart(self):
         for seed in range(6):
             self.play(random.Random(seed), restarts=True)
--- a/packages/cassiastair/cassiastair/forwarding/scatter_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter_test.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import eventlet
+import pytest
 from testtools import TestCase
 
 from ..errors import DeadlineError, NoTargetError, RunUnknownError
@@ -38,6 +39,10 @@
         expected = [n.encode().ljust(16, b".") for n in names[::-1]][:5]
         assert answer.body == b"".join(expected)
 
+    @pytest.mark.proof(
+        promise="true coverage",
+        failure="routes: a target fails with a signature",
+    )
     @in_virtual_time
     def test_a_failed_status_is_no_part(self, clock):
         bench = set_up(clock, shards=10, replicas=1)
@@ -47,6 +52,10 @@
         assert answer.missing == 1
         assert "seal-s3.0" not in answer.seals
 
+    @pytest.mark.proof(
+        promise="one snapshot",
+        failure="routes: the configuration changes while a search runs",
+    )
     @in_virtual_time
     def test_parts_come_from_the_version_at_the_start(self, clock):
         bench = set_up(clock, shards=4)
@@ -177,6 +186,10 @@
             bench.transport.get(name).fail = shed
         assert bench.run().missing == 0
 
+    @pytest.mark.proof(
+        promise='"not run" is true',
+        failure="routes: too few targets in reach",
+    )
     @in_virtual_time
     def test_not_run_is_said_at_once_when_too_few_are_in_reach(self, clock):
         bench = set_up(clock)
@@ -270,6 +283,10 @@
 class TestLeavingTargets(TestCase):
     """Targets that drain get nothing new."""
 
+    @pytest.mark.proof(
+        promise="leaving targets",
+        failure="routes: the entry says draining",
+    )
     @in_virtual_time
     def test_no_send_to_a_draining_target(self, clock):
         bench = set_up(clock, shards=2)
--- a/packages/cassiastair/cassiastair/forwarding/single_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/single_test.py
@@ -1,6 +1,7 @@
 """Tests of requests that one target serves."""
 
 import eventlet
+import pytest
 from testtools import TestCase
 
 from ..errors import DeadlineError, NoTargetError, RunUnknownError
@@ -29,6 +30,10 @@
 class TestAtMostOnce(TestCase):
     """Requests that must not run twice."""
 
+    @pytest.mark.proof(
+        promise="at most once",
+        failure="routes: the connection broke after the request left",
+    )
     @in_virtual_time
     def test_one_target_when_it_may_have_run(self, clock):
         bench = set_up(clock, repeatable=False)
@@ -45,6 +50,10 @@
         self.assertRaises(DeadlineError, bench.run, PATH, 5.0)
         assert bench.count_arrivals("desk") == 1
 
+    @pytest.mark.proof(
+        promise="at most once",
+        failure="routes: another target only after proof",
+    )
     @in_virtual_time
     def test_another_target_after_proof(self, clock):
         for failure in (ConnectFailure("no"), RefusedFailure("full", "shed", "")):
@@ -65,6 +74,10 @@
         assert bench.run(PATH, 5.0).status == 500
         assert bench.count_arrivals("desk") == 1
 
+    @pytest.mark.proof(
+        promise='"not run" is true',
+        failure="routes: all targets refuse",
+    )
     @in_virtual_time
     def test_refused_by_all_is_not_run(self, clock):
         bench = set_up(clock, repeatable=False)
--- a/packages/cassiastair/cassiastair/news/news_test.py
+++ b/packages/cassiastair/cassiastair/news/news_test.py
@@ -3,6 +3,7 @@
 import random
 from itertools import pairwise
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -94,6 +95,12 @@
         assert not self.table.replace([], 7)
         assert len(self.table) == 1
 
+    def test_a_removal_of_an_unknown_key_is_passed_on(self):
+        """A peer may know the key, and hears of its removal from this VM only."""
+        self.table.merge([item("b", 1)], 1)
+        news = self.table.merge([item("a", 5, None)], 5)
+        assert [(n.key, n.value) for n in news] == [("a", None)]
+
     def test_changes_after_a_revision(self):
         self.table.merge([item("a", 1), item("b", 2), item("a", 3, None)], 3)
         found = self.table.find_after(1)
@@ -314,6 +321,10 @@
             frame = NewsChanges(-1, 9, 0.0, bad)
             self.assertRaises(PeerProtocolError, link.node.handle, link, frame)
 
+    @pytest.mark.proof(
+        promise="tickets",
+        failure="store: lost messages, restarts, dropped history",
+    )
     @settings(max_examples=150, derandomize=True, database=None, deadline=None)
     @given(st.integers(0, 2**32))
     def test_never_back_and_all_the_same_after_losses(self, seed):
@@ -385,6 +396,10 @@
         counts = self.play(20)
         assert 3 <= min(counts[50:]) <= max(counts[50:]) <= 5
 
+    @pytest.mark.proof(
+        promise="cut off",
+        failure="store: all readers of a data centre end at once",
+    )
     def test_others_step_in_when_all_readers_end(self):
         self.play(20)
         self.alive -= {n for n in self.names if self.turns[n].reading}
--- a/packages/cassiastair/cassiastair/routing/table_test.py
+++ b/packages/cassiastair/cassiastair/routing/table_test.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+import pytest
 from testtools import TestCase
 
 from ..testing.forwarding_bench import make_search_route, make_single_route
@@ -35,6 +36,10 @@
         assert self.table.find("host", "/a") is None
         assert self.table.find("none", "/a/") is None
 
+    @pytest.mark.proof(
+        promise="tickets",
+        failure="store: an older configuration comes later",
+    )
     def test_never_back_to_an_older_version(self):
         new = make_single_route(name="new")
         old = make_single_route(name="old")
--- a/standins/proofs_test.py
+++ b/standins/proofs_test.py
@@ -14,6 +14,7 @@
     "planned stop",
     "tickets",
     "cut off",
+    "extra load",
 }
 
 
--- a/standins/world/world_test.py
+++ b/standins/world/world_test.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import eventlet
+import pytest
 from testtools import TestCase
 
 from .back_end import BackEndSpec
@@ -107,6 +108,10 @@
         assert outcome.status == 503
         assert float(outcome.answer.headers["retry-after"]) > 0
 
+    @pytest.mark.proof(
+        promise="planned stop",
+        failure="platform: SIGTERM after a reshard, over processes",
+    )
     def test_a_reshard_and_a_stop_cut_nothing(self):
         self.world.start_all()
         self.search()
@@ -129,6 +134,10 @@
             eventlet.sleep(0.02)
         assert self.world.wait_end("vm0", 10.0) == 0
 
+    @pytest.mark.proof(
+        promise="cut off",
+        failure="platform: the store turns a VM away, over processes",
+    )
     def test_a_vm_that_the_store_turns_away_hears_from_peers(self):
         settings = self.world.vms["vm2"].settings
         store = f"127.0.0.1:{self.world.store.address[1]}"
@@ -152,6 +161,10 @@
             for name, value in faults.items():
                 setattr(back_end.spec.faults, name, value)
 
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="platform: answers cut, doubled, lost, without a length",
+    )
     def test_every_answer_is_whole_and_ones_own(self):
         self.world.start_all()
         self.spoil(extra=0.2, cut=0.1, unframed=0.1, lose_answer=0.05, shed=0.1)
@@ -169,6 +182,10 @@
             assert not (note.status in (408, 421, 429, 503) and runs)
         assert served > 100
 
+    @pytest.mark.proof(
+        promise='"not run" is true',
+        failure="platform: another target has the address; over processes",
+    )
     def test_another_back_end_at_an_address_runs_nothing(self):
         self.world.start_all()
         for number in range(3):
