--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONWARNINGS := ignore::DeprecationWarning
 
-.PHONY: setup demo test lint format prove explore bench slopes soak golden settings
+.PHONY: setup demo demo-platform test lint format prove explore bench slopes soak golden settings
 
 setup: $(VENV)/.installed
 
@@ -21,6 +21,9 @@
 demo: setup
 	$(BIN)/python -m standins.demo
 
+demo-platform: setup
+	$(BIN)/python -m standins.world.demo
+
 test: setup
 	$(BIN)/python -m pytest -q
 
--- a/standins/proofs.py
+++ b/standins/proofs.py
@@ -26,15 +26,16 @@
 `once/at_most_once_test.py`. The baselines of `make bench` show the tail and the crest
 without their mechanisms.
 
-On the platform, sixteen protections were taken out by hand, one at a time, and each was
-found by the tests beside it but one: draining targets stay live; the last resort never ends;
-repeats without a budget; a write is sent again after a break; too few targets in reach
-are not refused; a failed status counts as a part; equal signatures are named twice;
-work goes on when the caller has left; an older item replaces a newer one; removals of
-unknown keys are no news (missed in that run, found by a test of its own since); a gap
-in changes is merged; an older configuration comes in force; no VM steps in as a reader;
-an answer to another attempt is taken; a 503 that ran is passed on; the expected instance
-is not named. The other tests were not seen to fail with their protection taken out.
+On the platform, sixteen protections were taken out by hand, one at a time, and each
+was found by the tests beside it but one: draining targets stay live; the last resort
+never ends; repeats without a budget; a write is sent again after a break; too few
+targets in reach are not refused; a failed status counts as a part; equal signatures
+are named twice; work goes on when the caller has left; an older item replaces a newer
+one; removals of unknown keys are no news (missed in that run, found by a test of its
+own since); a gap in changes is merged; an older configuration comes in force; no VM
+steps in as a reader; an answer to another attempt is taken; a 503 that ran is passed
+on; the expected instance is not named. The other tests were not seen to fail with
+their protection taken out.
 
 ## Not proved
 
