Forget what was learned of routes that are gone; take out what nothing calls

Read as a newcomer: two constants for one thing, a setting that nobody used, a method without callers, and two methods against growth that were never called.

--- a/packages/cassiastair/cassiastair/forwarding/budget_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/budget_test.py
@@ -70,6 +70,20 @@
             spent += 1
         assert spent <= 0.2 * 10 + 54 / 7
 
+    def test_unused_services_are_forgotten_but_not_their_repeats(self):
+        clock = ManualClock()
+        budget = RepeatBudget(clock, BOUNDS, lambda: 7)
+        clock.advance(20.0)
+        spent = 0
+        while budget.spend("a"):
+            spent += 1
+        budget.note_request("b")
+        budget.keep_only(set())
+        assert spent and not budget.spend("a")
+        clock.advance(30.0)
+        budget.keep_only(set())
+        assert budget.spend("a")
+
     def test_services_are_counted_apart(self):
         clock = ManualClock()
         budget = RepeatBudget(clock, BOUNDS, lambda: 7)
--- a/packages/cassiastair/cassiastair/forwarding/repeat_budget.py
+++ b/packages/cassiastair/cassiastair/forwarding/repeat_budget.py
@@ -70,11 +70,6 @@
         window.add(1)
         return True
 
-    def left(self, service: str) -> float:
-        """Return the repeats that a service may still get now."""
-        window = self._find(service)
-        return self._allowance(window) - window.repeats
-
     def _allows(self, window: "_Window") -> bool:
         """Tell whether one more repeat keeps within the bounds."""
         return window.repeats + 1 <= self._allowance(window)
--- a/packages/cassiastair/cassiastair/news/reader.py
+++ b/packages/cassiastair/cassiastair/news/reader.py
@@ -10,7 +10,7 @@
 WATCH_SHARE = 0.8  # wait of a watch over the bound on changes: a silent one is noticed
 GATHER_SHARE = 0.1  # pause after a change over that bound, so one call brings several
 FIRST_WAIT_S = 1.0  # time in which a peer may bring what a new VM would have to read
-IDLE_S = 0.2  # pause between looks at the schedule
+IDLE_S = 0.2  # pause between looks whether it is this VM's turn
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.8  # a store that returns is found within a second
 
--- a/packages/cassiastair/cassiastair/routing/configuration.py
+++ b/packages/cassiastair/cassiastair/routing/configuration.py
@@ -4,8 +4,6 @@
 
 from .route import Route
 
-DEFAULT_CONNECTIONS = 16  # connections of a target whose service states no limit
-
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -20,17 +20,8 @@
 from cassiastair.forwarding.prober import TargetProber
 from cassiastair.forwarding.reach import Reach
 from cassiastair.forwarding.repeat_budget import RepeatBounds
-from cassiastair.membership import (
-    Freshness,
-    ReaderTurns,
-    Roster,
-)
-from cassiastair.news import (
-    NewsNode,
-    NewsReader,
-    NewsSource,
-    NewsTable,
-)
+from cassiastair.membership import Freshness, ReaderTurns, Roster
+from cassiastair.news import NewsNode, NewsReader, NewsSource, NewsTable
 from cassiastair.pauses import PauseDetector
 from cassiastair.routing import RoutingTable
 
@@ -92,6 +83,7 @@
         self.counts = RequestCounts()
         self.pauses = PauseDetector(self._clock)
         self.lag = 0.0
+        self._tidied = -1
         self.own = self._make_own()
         self._wire_forwarding(dialect)
         self._wire_news(decoder, open_store(*settings.store_address))
@@ -125,11 +117,7 @@
         self.transport = RoutedTransport(
             dialect, self._clock, self._get_connections, self.count_vms
         )
-        self.book = TargetBook(
-            self._clock,
-            settings.drain,
-            self.transport.forget,
-        )
+        self.book = TargetBook(self._clock, settings.drain, self.transport.forget)
         bounds = RepeatBounds(
             settings.repeat_ratio, settings.repeat_slack, settings.repeat_window
         )
@@ -288,6 +276,7 @@
         while True:
             self.book.tend()
             self.transport.tend()
+            self._forget_unused()
             heap.tend(len(self.news))
             due = self._clock.now() + TEND_S
             eventlet.sleep(TEND_S)
@@ -297,6 +286,16 @@
             if self.pauses.pauses > paused:
                 self.log.warn("paused", "", lag_ms=round(self.lag * 1000))
 
+    def _forget_unused(self) -> None:
+        """Forget what was learned of routes and services that are gone."""
+        configuration = self.table.configuration
+        if configuration is None or configuration.version == self._tidied:
+            return
+        self._tidied = configuration.version
+        names = {route.name for route in configuration.routes}
+        self.parts.latencies.keep_only(names)
+        self.parts.budget.keep_only(self.table.named_services())
+
     def reload(self, read_settings) -> None:
         """Take the settings that may change while the daemon runs."""
         try:
--- a/packages/cassiastaird/cassiastaird/entry/entry_settings.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_settings.py
@@ -31,8 +31,6 @@
         Seconds in which a configuration comes in force.
     repeat_ratio, repeat_slack, repeat_window : float
         Bounds on repeated sends of all VMs, see `RepeatBounds`.
-    descriptors : int
-        File descriptors that the process may use.
     """
 
     vm: str
@@ -49,4 +47,3 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window: float
-    descriptors: int
