Keep more time for the answers of searches over many shards

Change: 4 ms and 0.1 ms a shard, so 6 ms for 20 and 13 ms for 90. Test first: test_many_shards_take_longer_to_merge.

--- a/packages/cassiastair/cassiastair/forwarding/answer_time.py
+++ b/packages/cassiastair/cassiastair/forwarding/answer_time.py
@@ -4,7 +4,8 @@
 
 from ..routing import Route
 
-MARGIN_S = 0.005  # time kept for the merge, and for timers that fire late
+MARGIN_S = 0.004  # time kept for timers that fire late
+SHARD_MARGIN_S = 0.0001  # the same for each shard: parts to take in and to merge
 LATE_FACTOR = 2.0  # multiple of the objective until which a late search waits on
 FINISH_MARGIN_S = 0.040  # time before the deadline at which a final answer leaves
 
@@ -59,7 +60,8 @@
             Seconds on the way from and to the caller, who counts them too.
         """
         deadline = find_deadline(route, received, patience)
-        objective = received + route.objective - MARGIN_S - travel
+        margin = MARGIN_S + SHARD_MARGIN_S * len(route.shards)
+        objective = received + route.objective - margin - travel
         late = received + LATE_FACTOR * route.objective
         return cls(min(objective, deadline), min(late, deadline), deadline)
 
--- a/packages/cassiastair/cassiastair/forwarding/budget_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/budget_test.py
@@ -122,6 +122,11 @@
         assert near.objective - far.objective > 0.0109
         assert far.objective + 0.013 < 100.07
 
+    def test_many_shards_take_longer_to_merge(self):
+        few = AnswerTime.plan(make_search_route(20, objective=0.07), 100.0, 1.0)
+        many = AnswerTime.plan(make_search_route(90, objective=0.07), 100.0, 1.0)
+        assert few.objective - many.objective > 0.006
+
     def test_late_waits_for_all_then_takes_enough(self):
         assert not self.times.should_answer(100.1, enough=True)
         assert self.times.should_answer(100.14, enough=True)
