Let targets give up searches' requests at the objective

Cause: a search's sends carried the caller's whole deadline (1.5 to 2.5 s), while the search answers at its objective (183 ms). A target that paused, was slow or was short of room then worked through a queue of requests whose searches had ended, and every later part came too late as well. Change: where searches of a kind mostly get enough parts in time, a send ends at the objective; the target drops what it has not begun. A send after the objective, or of a kind that is mostly late, keeps the whole deadline. Test (virtual time, a target with slots and a queue): failed before.

--- a/packages/cassiastair/cassiastair/forwarding/answer_time.py
+++ b/packages/cassiastair/cassiastair/forwarding/answer_time.py
@@ -82,6 +82,26 @@
                 return time
         return self.deadline
 
+    def find_send_deadline(self, now: float, in_time: bool) -> float:
+        """Return the time at which a target is to give up a send.
+
+        Load: a target with more requests than it can serve in time works through its
+        queue in order, so that all its answers come too late, also those to searches
+        that have ended. With the objective as the deadline it drops those, and what
+        it still serves is of use.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        in_time : bool
+            Whether searches of this kind mostly get enough parts within the objective.
+            Where they do not, a late part is better than none.
+        """
+        if in_time and now < self.objective:
+            return self.latest
+        return self.deadline
+
     def should_answer(self, now: float, enough: bool) -> bool:
         """Tell whether a search with open parts answers now.
 
--- a/packages/cassiastair/cassiastair/forwarding/latencies.py
+++ b/packages/cassiastair/cassiastair/forwarding/latencies.py
@@ -10,6 +10,8 @@
 FIRST_SHARE = 0.38  # the delay of a hedge until enough latencies are known
 TYPICAL_SHARE = 0.2  # typical latency over the objective before the first answer
 SMOOTHING = 0.03  # weight of a new latency in the mean
+SEARCH_SMOOTHING = 0.1  # weight of a new search in the share of those in time
+MOSTLY = 0.7  # share of the searches in time from which sends end at the objective
 
 
 class KindLatency:
@@ -23,11 +25,12 @@
         Time in which an answer counts fully, in seconds.
     """
 
-    __slots__ = ("objective", "typical", "_quantiles")
+    __slots__ = ("objective", "typical", "_in_time", "_quantiles")
 
     def __init__(self, clock: Clock, objective: float):
         self.objective = objective
         self.typical = TYPICAL_SHARE * objective
+        self._in_time = 0.5
         self._quantiles = RollingQuantile(clock)
 
     def observe(self, latency: float) -> float:
@@ -36,6 +39,15 @@
         self.typical += SMOOTHING * (latency - self.typical)
         return latency / max(self.typical, 1e-4)
 
+    @property
+    def is_mostly_in_time(self) -> bool:
+        """Whether searches mostly get enough parts within the objective."""
+        return self._in_time >= MOSTLY
+
+    def note_search(self, in_time: bool) -> None:
+        """Take note whether a search had enough parts within the objective."""
+        self._in_time += SEARCH_SMOOTHING * (in_time - self._in_time)
+
     def hedge_delay(self) -> float:
         """Return the seconds after which a send is late."""
         found = self._quantiles.find(HEDGE_QUANTILE)
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -91,11 +91,18 @@
                 self._send(shard, "first")
             while self._open and not self._is_over():
                 self._step()
+            self._note_timing()
             return self._finish()
         finally:
             self._results.close()
             release([send for send in self._owners if not send.ended])
 
+    def _note_timing(self) -> None:
+        """Take note whether enough parts came within the objective."""
+        now = self._parts.clock.now()
+        enough = self._answered >= self._needed
+        self._kind.note_search(enough and now < self._times.latest)
+
     def _check_targets(self) -> None:
         """Refuse at once what the known targets cannot serve."""
         reach = self._parts.book.can_reach
@@ -137,7 +144,9 @@
         shard.sends.append(send)
         shard.tried.add(chosen.target.name)
         self._owners[send] = shard
-        send.start(self._request, self._times.deadline, False, self._results.put)
+        in_time = self._kind.is_mostly_in_time
+        deadline = self._times.find_send_deadline(now, in_time)
+        send.start(self._request, deadline, False, self._results.put)
         if len(shard.sends) == 1:
             self._timers.add(now + self._delay, self._hedge, shard)
         return True
--- a/packages/cassiastair/cassiastair/forwarding/scatter_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter_test.py
@@ -16,6 +16,7 @@
     make_search_route,
     make_target,
 )
+from ..testing.slot_queue import SlotQueue
 from .send import LINGER_S
 
 
@@ -279,6 +280,45 @@
         earned = sum(part**2 for part in share) / len(share)
         assert earned > 0.97
 
+    @in_virtual_time
+    def test_a_target_that_stalled_is_of_use_again_at_once(self, clock):
+        """Two slots of 30 ms get 50 searches a second and stand still for 0.6 s."""
+        bench = set_up(clock, replicas=1, lowest=0.75, objective=0.18, timeout=1.5)
+        stall = (clock.now() + 2.0, clock.now() + 2.6)
+
+        def work() -> float:
+            is_stalled = stall[0] <= clock.now() < stall[1]
+            return 0.03 + (stall[1] - clock.now() if is_stalled else 0.0)
+
+        bench.transport.get("s0.0").queue = SlotQueue(clock, 2, work)
+        answers = []
+
+        def search() -> None:
+            started = clock.now()
+            answers.append((started, bench.run(patience=1.5)))
+
+        for _ in range(200):
+            eventlet.spawn_n(search)
+            eventlet.sleep(0.02)
+        eventlet.sleep(2.0)
+        after = [answer for started, answer in answers if started > stall[1] + 0.1]
+        assert len(after) > 50
+        assert not any(answer.missing for answer in after)
+
+    @in_virtual_time
+    def test_parts_come_late_where_no_target_is_fast_enough(self, clock):
+        bench = set_up(clock, replicas=1, lowest=0.9, objective=0.18, timeout=1.5)
+        for number in range(20):
+            queue = SlotQueue(clock, 2, lambda: 0.3)
+            bench.transport.get(f"s{number}.0").queue = queue
+        served = 0
+        for _ in range(20):
+            try:
+                served += not bench.run(patience=1.5).missing
+            except (DeadlineError, RunUnknownError):
+                pass
+        assert served >= 15
+
 
 class TestLeavingTargets(TestCase):
     """Targets that drain get nothing new."""
--- a/packages/cassiastair/cassiastair/testing/fake_transport.py
+++ b/packages/cassiastair/cassiastair/testing/fake_transport.py
@@ -8,6 +8,7 @@
 from ..clock import Clock
 from ..forwarding import CallerRequest, RoutedTarget, TargetReply, TargetTransport
 from ..targets.failures import TargetFailure
+from .slot_queue import SlotQueue
 
 
 @dataclass(slots=True)
@@ -20,6 +21,8 @@
         Returns the seconds that a request takes.
     fail : callable
         Returns the failure or reply in place of the usual reply, or None.
+    queue : SlotQueue or None
+        Takes the place of the latency.
     """
 
     latency: Callable[[], float] = lambda: 0.01
@@ -27,6 +30,7 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     ended: list[tuple[float, str]] = field(default_factory=list)
     reachable: bool = True
+    queue: SlotQueue | None = None
 
 
 class FakeTransport(TargetTransport):
@@ -57,7 +61,11 @@
             outcome = fake.fail()
             if isinstance(outcome, TargetFailure) and outcome.proves_not_run:
                 raise outcome
-            eventlet.sleep(fake.latency())
+            if fake.queue is not None:
+                if not fake.queue.serve(deadline):
+                    return make_reply(target, 504)
+            else:
+                eventlet.sleep(fake.latency())
             if isinstance(outcome, TargetFailure):
                 raise outcome
             return outcome or make_reply(target)
