--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -8,14 +8,15 @@
 # Eventlet announces its own end; docs/design/style.md says why it is used all the same.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-import eventlet  # noqa: E402
+from .plain_libraries import load_plain_libraries  # noqa: E402
 
-eventlet.monkey_patch()
+load_plain_libraries()
 
 import signal  # noqa: E402
 import sys  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 
+import eventlet  # noqa: E402
 from cassiastair.errors import SettingsError  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
