--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -8,15 +8,14 @@
 # Eventlet announces its own end; docs/design/style.md says why it is used all the same.
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-from .plain_libraries import load_plain_libraries  # noqa: E402
+import eventlet  # noqa: E402
 
-load_plain_libraries()
+eventlet.monkey_patch()
 
 import signal  # noqa: E402
 import sys  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 
-import eventlet  # noqa: E402
 from cassiastair.errors import SettingsError  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
