Tell VMs of a data centre which targets are slow or failing

Since sends end at the objective, a late target's answer also did not show how slow it is (the failure was noted, the waiting was not). Change: sightings of slow and of failing targets (first and last time) spread on the links inside a data centre, twice a second, only while there are any; merges commute, and a usual answer denies earlier sightings of slowness. Two sightings further apart than a pause count. Such a target gets a sixteenth of its share where three or more remain. A send that was not served in time counts as waiting.

--- a/packages/cassiastair/cassiastair/forwarding/__init__.py
+++ b/packages/cassiastair/cassiastair/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from .routed_target import RoutedTarget
 from .send_counts import SendCounts
 from .transport import TargetReply, TargetTransport
+from .troubled_targets import TroubledTargets
 
 __all__ = [
     "AnswerTime",
@@ -24,6 +25,7 @@
     "RepeatBudget",
     "RoutedTarget",
     "SendCounts",
+    "TroubledTargets",
     "TargetBook",
     "TargetReply",
     "TargetTransport",
--- a/packages/cassiastair/cassiastair/forwarding/book_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/book_test.py
@@ -18,6 +18,7 @@
 from .evidence import RoutedEvidence
 from .prober import TargetProber
 from .reach import Reach
+from .troubled_targets import TroubledTargets
 
 
 class TestTargetBook(TestCase):
@@ -81,7 +82,9 @@
 
     def setUp(self):
         super().setUp()
-        self.chooser = RoutedChooser(random.Random(1), "dc0")
+        self.clock = ManualClock(100.0)
+        self.troubled = TroubledTargets(self.clock)
+        self.chooser = RoutedChooser(random.Random(1), "dc0", self.troubled)
         self.targets = [RoutedEvidence(make_target(n, "s")) for n in "abc"]
 
     def choose(self, count: int = 600, now: float = 100.0) -> dict[str, int]:
@@ -91,6 +94,15 @@
             counts[self.chooser.choose(self.targets, now, 0.1).target.name] += 1
         return counts
 
+    def test_a_target_that_several_saw_fail_gets_little(self):
+        self.troubled.take([], [["a", 0.9, 0.1]])
+        assert 0 < self.choose()["a"] < 60
+
+    def test_of_two_targets_neither_gets_all_on_the_word_of_peers(self):
+        self.targets.pop()
+        self.troubled.take([], [["a", 0.9, 0.1]])
+        assert min(self.choose()[name] for name in "ab") > 200
+
     def test_equal_targets_share(self):
         assert min(self.choose().values()) > 150
 
--- a/packages/cassiastair/cassiastair/forwarding/choice.py
+++ b/packages/cassiastair/cassiastair/forwarding/choice.py
@@ -4,8 +4,13 @@
 from collections.abc import Sequence
 
 from .evidence import RoutedEvidence
+from .troubled_targets import TroubledTargets
 
 FOREIGN_FACTOR = 1.6  # weight of the way to another data centre, whose bytes cost
+TROUBLE_FACTOR = 4.0  # weight of a target that VMs have seen slow or failing
+# Targets from which on the word of peers counts. With two, the other one would get
+# all the load, and this VM asks each often enough to judge by itself.
+FEWEST_TO_HEED = 3
 SHARPNESS = 2  # power of the expected wait in the odds of a choice
 
 
@@ -24,11 +29,16 @@
         Source of random numbers.
     data_centre : str
         Data centre of this VM.
+    troubled : TroubledTargets
+        Targets that VMs of the data centre have seen slow or failing.
     """
 
-    def __init__(self, source: random.Random, data_centre: str):
+    def __init__(
+        self, source: random.Random, data_centre: str, troubled: TroubledTargets
+    ):
         self._source = source
         self._data_centre = data_centre
+        self._troubled = troubled
 
     def choose(
         self, candidates: Sequence[RoutedEvidence], now: float, patience: float
@@ -59,7 +69,8 @@
             )
         if len(sound) == 1:
             return sound[0]
-        odds = [1.0 / self._estimate(c) ** SHARPNESS for c in sound]
+        heeds_peers = len(sound) >= FEWEST_TO_HEED
+        odds = [1.0 / self._estimate(c, heeds_peers) ** SHARPNESS for c in sound]
         point = self._source.random() * sum(odds)
         for candidate, part in zip(sound, odds, strict=True):
             point -= part
@@ -67,9 +78,11 @@
                 return candidate
         return sound[-1]
 
-    def _estimate(self, candidate: RoutedEvidence) -> float:
+    def _estimate(self, candidate: RoutedEvidence, heeds_peers: bool) -> float:
         """Return the expected wait, relative to a typical one."""
         wait = max(candidate.slowness, 0.1) * (1 + candidate.in_flight)
         if candidate.target.data_centre != self._data_centre:
             wait *= FOREIGN_FACTOR
+        if heeds_peers and self._troubled.is_troubled(candidate.target.name):
+            wait *= TROUBLE_FACTOR
         return wait
--- a/packages/cassiastair/cassiastair/forwarding/parts.py
+++ b/packages/cassiastair/cassiastair/forwarding/parts.py
@@ -11,6 +11,7 @@
 from .repeat_budget import RepeatBudget
 from .send_counts import SendCounts
 from .transport import TargetTransport
+from .troubled_targets import TroubledTargets
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,8 @@
         Bounds repeats.
     latencies : KindLatencies
         Latencies of each kind of request.
+    troubled : TroubledTargets
+        Targets that VMs of the data centre have seen slow or failing.
     decisions : DecisionLog
         Takes what is decided about requests.
     counts : SendCounts
@@ -45,6 +48,7 @@
     chooser: RoutedChooser
     budget: RepeatBudget
     latencies: KindLatencies
+    troubled: TroubledTargets
     decisions: DecisionLog
     counts: SendCounts
     clock: Clock
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -170,6 +170,9 @@
 
     def _hedge(self, shard: ShardState) -> None:
         """Ask a second target for a part that is late."""
+        for send in shard.sends:
+            if not send.ended:
+                send.note_late()
         if not self._find_untried(shard):
             return
         if self._may_repeat(shard):
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -4,6 +4,7 @@
 from greenlet import greenlet
 
 from ..targets.failures import (
+    BadAnswerFailure,
     BrokenFailure,
     ConnectFailure,
     RefusedFailure,
@@ -91,23 +92,43 @@
             return BrokenFailure(f"internal failure: {error!r}")
         now = self._parts.clock.now()
         if reply.succeeded:
-            self.evidence.answered(self._kind.observe(now - self.started), now)
+            ratio = self._kind.observe(now - self.started)
+            self.evidence.answered(ratio, now)
+            self._parts.troubled.answered(target.name, ratio)
             self._parts.counts.ended("answered")
         else:
+            self._learn_waiting()
             self.evidence.failed(now)
+            if now < deadline:
+                self._parts.troubled.failed(target.name)
             self._parts.counts.ended("failed_at_target")
         return reply
 
+    def note_late(self) -> float:
+        """Take note that the target has not answered so far; return the ratio.
+
+        That is the time waited over the typical latency of the kind of request.
+        """
+        waited = self._parts.clock.now() - self.started
+        ratio = waited / max(self._kind.typical, 1e-4)
+        self._parts.troubled.waited(self.evidence.target.name, ratio)
+        return ratio
+
+    def _learn_waiting(self) -> None:
+        """Take note that the target has not served the send in this time."""
+        self.evidence.waited(self.note_late())
+
     def _learn_failure(self, failure: TargetFailure) -> None:
         """Stand back from a target that refuses or cannot be reached."""
         if isinstance(failure, (ConnectFailure, RefusedFailure, BrokenFailure)):
             self.evidence.failed(self._parts.clock.now())
+        if isinstance(failure, (BadAnswerFailure, BrokenFailure)):
+            self._parts.troubled.failed(self.evidence.target.name)
 
     def stop(self) -> None:
         """End the send now; its connection is closed."""
         if not self.ended:
-            waited = self._parts.clock.now() - self.started
-            self.evidence.waited(waited / max(self._kind.typical, 1e-4))
+            self._learn_waiting()
             self.evidence.failed(self._parts.clock.now())
             self._parts.counts.ended("stopped")
             hubs.get_hub().schedule_call_global(0, self._task.throw)
--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/troubled_targets.py
@@ -0,0 +1,80 @@
+"""Targets that several VMs have seen slow or failing.
+
+Load: in a large fleet a VM sees each target once in ten seconds, so by itself it
+learns of one that is slow, or that fails a part of its requests, when that is over.
+All VMs of a data centre together see it twice a second. They pass on when they saw
+it first and last; two sightings further apart than a pause, or than a burst of lost
+connections, show that the trouble lasts.
+"""
+
+from ..clock import Clock
+from .sightings import Sightings
+
+SLOW_RATIO = 2.5  # latency over the typical one that chance rarely explains
+FINE_RATIO = 2.0  # the same below which a target is not slow
+
+
+class TroubledTargets:
+    """Slow and failing targets, as this VM and its peers have seen them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._slow = Sightings(clock)
+        self._failing = Sightings(clock)
+
+    def waited(self, name: str, ratio: float) -> None:
+        """Take note that a send has not been answered so far.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        ratio : float
+            Time waited over the typical latency of the kind of request.
+        """
+        if ratio >= SLOW_RATIO:
+            self._slow.add(name)
+
+    def answered(self, name: str, ratio: float) -> None:
+        """Take note of an answer and its latency over the typical one.
+
+        A usual latency shows that the target is not slow. It says little of failures:
+        a target that fails every third request answers the others.
+        """
+        if ratio < FINE_RATIO:
+            self._slow.deny(name)
+        else:
+            self.waited(name, ratio)
+
+    def failed(self, name: str) -> None:
+        """Take note that a send broke off or ended in an error of the target."""
+        self._failing.add(name)
+
+    def is_troubled(self, name: str) -> bool:
+        """Tell whether a target has been slow or failing lately."""
+        return self._slow.holds(name) or self._failing.holds(name)
+
+    def tell(self) -> tuple[list, list]:
+        """Return what to tell peers of slow and of failing targets."""
+        return self._slow.tell(), self._failing.tell()
+
+    def take(self, slow: list, failing: list) -> None:
+        """Merge what a peer told.
+
+        Raises
+        ------
+        PeerProtocolError
+            If it is malformed.
+        """
+        self._slow.take(slow)
+        self._failing.take(failing)
+
+    def tend(self) -> None:
+        """Forget what is over; called about twice a second."""
+        self._slow.tend()
+        self._failing.tend()
--- a/packages/cassiastair/cassiastair/news/news_test.py
+++ b/packages/cassiastair/cassiastair/news/news_test.py
@@ -11,6 +11,7 @@
 from ..clock import ManualClock
 from ..data import Vm
 from ..errors import PeerProtocolError
+from ..forwarding import TroubledTargets
 from ..membership import Freshness, ReaderTurns, Roster
 from ..peers.link import PeerLink
 from ..peers.messages import NewsBeat, NewsChanges
@@ -210,6 +211,7 @@
     def __init__(self, size: int, clock: ManualClock):
         self.clock = clock
         self.store = FakeStore()
+        self.troubled: list[TroubledTargets] = []
         self.nodes = []
         self.history: list[list[int]] = []
         for number in range(size):
@@ -226,7 +228,9 @@
         table = NewsTable(lambda items: None)
         turns = ReaderTurns(vm.name, "dc", roster.locals, self.clock)
         freshness = Freshness(self.clock)
-        return NewsNode(vm, roster, table, freshness, turns, lambda: True)
+        troubled = TroubledTargets(self.clock)
+        self.troubled.append(troubled)
+        return NewsNode(vm, roster, table, freshness, turns, lambda: True, troubled)
 
     def connect(self, one: int, other: int) -> None:
         """Open a link."""
@@ -291,6 +295,18 @@
         for number in range(4):
             assert fleet.contents(number) == fleet.store.items
 
+    def test_a_target_that_two_vms_saw_slow_is_known_to_all(self):
+        clock = ManualClock()
+        fleet = Fleet(4, clock)
+        fleet.troubled[0].waited("t", 6.0)
+        clock.advance(0.6)
+        fleet.troubled[3].waited("t", 6.0)
+        for _ in range(2):
+            for node in fleet.nodes:
+                node.share_trouble()
+            fleet.deliver()
+        assert all(known.is_troubled("t") for known in fleet.troubled)
+
     def test_a_new_vm_gets_everything_from_a_peer(self):
         fleet = Fleet(3, ManualClock())
         fleet.deliver()
--- a/packages/cassiastair/cassiastair/news/node.py
+++ b/packages/cassiastair/cassiastair/news/node.py
@@ -11,10 +11,11 @@
 
 from ..data import Vm
 from ..errors import PeerProtocolError
+from ..forwarding import TroubledTargets
 from ..membership import Freshness, ReaderTurns, Roster
 from ..peers.link import PeerLink
 from ..peers.mesh_node import MeshNode
-from ..peers.messages import Bye, NewsBeat, NewsChanges, NewsWant
+from ..peers.messages import Bye, Message, NewsBeat, NewsChanges, NewsWant, TroubleSeen
 from .item import NewsItem
 from .table import NewsTable
 
@@ -42,6 +43,8 @@
         Which VMs read the store.
     is_served : callable
         Tells whether the store answers this VM, if it reads.
+    troubled : TroubledTargets
+        Targets that VMs of the data centre have seen slow or failing.
     """
 
     def __init__(
@@ -52,16 +55,19 @@
         freshness: Freshness,
         turns: ReaderTurns,
         is_served: Callable[[], bool],
+        troubled: TroubledTargets,
     ):
         super().__init__(own, roster)
         self.table = table
         self.freshness = freshness
         self._turns = turns
         self._is_served = is_served
+        self._troubled = troubled
         self._handlers |= {
             NewsBeat: self._take_beat,
             NewsChanges: self._take_changes,
             NewsWant: self._take_want,
+            TroubleSeen: self._take_trouble,
         }
 
     def publish(self, after: int, items: list[NewsItem]) -> None:
@@ -77,11 +83,22 @@
         self.counts.pushed += 1
         self._push(self._make_changes(after, items), None)
 
-    def _push(self, changes: NewsChanges, source: PeerLink | None) -> None:
-        """Send changes on the links inside the data centre."""
+    def share_trouble(self) -> None:
+        """Tell peers of the data centre which targets are in trouble, if any."""
+        self._troubled.tend()
+        slow, failing = self._troubled.tell()
+        if slow or failing:
+            self._push(TroubleSeen(slow, failing), None)
+
+    def _take_trouble(self, link: PeerLink, seen: TroubleSeen) -> None:
+        """Merge what a peer tells of targets; the next sharing passes it on."""
+        self._troubled.take(seen.slow, seen.failing)
+
+    def _push(self, message: Message, source: PeerLink | None) -> None:
+        """Send a message on the links inside the data centre, but to its source."""
         for link in list(self.links.values()):
             if link is not source and self._is_local(link):
-                self._send(link, changes)
+                self._send(link, message)
 
     def _is_local(self, link: PeerLink) -> bool:
         """Tell whether a peer is in the own data centre."""
--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -262,6 +262,20 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True)
+class TroubleSeen:
+    """Targets that were seen in trouble lately; its size is bounded.
+
+    Parameters
+    ----------
+    slow, failing : list
+        For each target its name and the seconds since it was first and last seen so.
+    """
+
+    slow: list
+    failing: list
+
+
 Message = (
     Hello
     | Heartbeat
@@ -278,4 +292,5 @@
     | NewsBeat
     | NewsChanges
     | NewsWant
+    | TroubleSeen
 )
--- a/packages/cassiastair/cassiastair/targets/targets_test.py
+++ b/packages/cassiastair/cassiastair/targets/targets_test.py
@@ -27,35 +27,35 @@
         super().setUp()
         self.clock = ManualClock()
         self.chooser = EvidenceChooser(random.Random(1))
-        self.fast, self.slow = (make_evidence(self.clock, n) for n in range(2))
+        self.fast, self.troubled = (make_evidence(self.clock, n) for n in range(2))
         for _ in range(20):
             self.fast.succeeded(0.005)
-            self.slow.succeeded(0.050)
+            self.troubled.succeeded(0.050)
 
     def test_slow_target_stands_back_and_is_probed(self):
-        both = [self.fast, self.slow]
+        both = [self.fast, self.troubled]
         assert {self.chooser.choose(both) for _ in range(50)} == {self.fast}
         self.clock.advance(PROBE_INTERVAL_S)
-        assert self.chooser.find_probe(both) is self.slow
+        assert self.chooser.find_probe(both) is self.troubled
         assert self.chooser.find_probe(both) is None
 
     def test_last_target_is_never_left_out(self):
-        assert self.chooser.choose([self.slow]) is self.slow
+        assert self.chooser.choose([self.troubled]) is self.troubled
         for _ in range(5):
-            self.slow.failed()
-        assert self.chooser.choose([self.slow]) is self.slow
+            self.troubled.failed()
+        assert self.chooser.choose([self.troubled]) is self.troubled
 
     def test_failing_target_stands_back(self):
         for _ in range(2):
             self.fast.failed()
-        assert self.chooser.choose([self.fast, self.slow]) is self.slow
+        assert self.chooser.choose([self.fast, self.troubled]) is self.troubled
 
     def test_a_lying_report_changes_little(self):
         self.fast.note_load(1000.0)
-        self.slow.note_load(0.0)
-        both = [self.fast, self.slow]
+        self.troubled.note_load(0.0)
+        both = [self.fast, self.troubled]
         assert self.chooser.choose(both) is self.fast
-        assert ReportChooser(random.Random(1)).choose(both) is self.slow
+        assert ReportChooser(random.Random(1)).choose(both) is self.troubled
 
 
 class TestAdaptiveLimit(TestCase):
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -11,6 +11,7 @@
     RoutedTarget,
     SendCounts,
     TargetBook,
+    TroubledTargets,
 )
 from ..forwarding.choice import RoutedChooser
 from ..forwarding.decisions import DecisionLog
@@ -63,15 +64,17 @@
         self.book = TargetBook(clock, DRAIN_S, self.transport.forget)
         self.table = RoutingTable(source)
         self.log = ListDecisionLog()
+        self.troubled = TroubledTargets(clock)
         self.budget = RepeatBudget(clock, RepeatBounds(0.2, slack, 10.0), lambda: 7)
         clock.advance(10.0)  # the whole budget is there after one window
         self.parts = ForwardingParts(
             table=self.table,
             book=self.book,
             transport=self.transport,
-            chooser=RoutedChooser(source, "dc0"),
+            chooser=RoutedChooser(source, "dc0", self.troubled),
             budget=self.budget,
             latencies=KindLatencies(clock),
+            troubled=self.troubled,
             decisions=self.log,
             counts=SendCounts(),
             clock=clock,
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -14,6 +14,7 @@
     RepeatBudget,
     SendCounts,
     TargetBook,
+    TroubledTargets,
 )
 from cassiastair.forwarding.choice import RoutedChooser
 from cassiastair.forwarding.latencies import KindLatencies
@@ -118,6 +119,7 @@
             dialect, self._clock, self._get_connections, self.count_vms
         )
         self.book = TargetBook(self._clock, settings.drain, self.transport.forget)
+        self.troubled = TroubledTargets(self._clock)
         bounds = RepeatBounds(
             settings.repeat_ratio, settings.repeat_slack, settings.repeat_window
         )
@@ -125,9 +127,10 @@
             table=self.table,
             book=self.book,
             transport=self.transport,
-            chooser=RoutedChooser(self._source, settings.data_centre),
+            chooser=RoutedChooser(self._source, settings.data_centre, self.troubled),
             budget=RepeatBudget(self._clock, bounds, self.count_vms),
             latencies=KindLatencies(self._clock),
+            troubled=self.troubled,
             decisions=self.log,
             counts=SendCounts(),
             clock=self._clock,
@@ -168,6 +171,7 @@
             self.freshness,
             self.turns,
             lambda: self.reader.served,
+            self.troubled,
         )
         self.node.note = lambda event, **inputs: self.log.warn(event, "", **inputs)
         self.forwarder = CallForwarder(refuse_call)
@@ -276,6 +280,7 @@
         while True:
             self.book.tend()
             self.transport.tend()
+            self.node.share_trouble()
             self._forget_unused()
             heap.tend(len(self.news))
             due = self._clock.now() + TEND_S
--- a/packages/cassiastaird/cassiastaird/peers/codec.py
+++ b/packages/cassiastaird/cassiastaird/peers/codec.py
@@ -25,6 +25,7 @@
     messages.NewsBeat,
     messages.NewsChanges,
     messages.NewsWant,
+    messages.TroubleSeen,
 )  # the position is the number on the wire: only add at the end
 NUMBERS = {kind: number for number, kind in enumerate(TYPES)}
 FIELDS = {kind: [item.name for item in fields(kind)] for kind in TYPES}
