Log and count the targets that VMs take for slow or failing

Cause: what other VMs have seen of a target now moves requests away from it, and neither logs nor metrics told so. A line `target trouble` at each change of that belief, a gauge `targets_in_trouble`.

More sends cost the VM's own processor time just while the first answers come: 90 sends take 13 ms and more of half a core.

--- a/packages/cassiastair/cassiastair/forwarding/sightings.py
+++ b/packages/cassiastair/cassiastair/forwarding/sightings.py
@@ -74,6 +74,10 @@
             return False
         return self._clock.now() - seen.last < KEEP_S
 
+    def find_confirmed(self) -> set[str]:
+        """Return the names of the targets that were confirmed to be so lately."""
+        return {name for name in self._seen if self.holds(name)}
+
     def tell(self) -> list:
         """Return what to tell peers: names with the ages of both times."""
         now = self._clock.now()
--- a/packages/cassiastair/cassiastair/forwarding/troubled_targets.py
+++ b/packages/cassiastair/cassiastair/forwarding/troubled_targets.py
@@ -26,6 +26,7 @@
     def __init__(self, clock: Clock):
         self._slow = Sightings(clock)
         self._failing = Sightings(clock)
+        self._known: dict[str, str] = {}
 
     def waited(self, name: str, ratio: float) -> None:
         """Take note that a send has not been answered so far.
@@ -59,6 +60,22 @@
         """Tell whether a target has been slow or failing lately."""
         return self._slow.holds(name) or self._failing.holds(name)
 
+    def count(self) -> int:
+        """Return the number of targets in trouble at the last look for changes."""
+        return len(self._known)
+
+    def find_changes(self) -> list[tuple[str, str]]:
+        """Return the targets whose state has changed since the last call.
+
+        Each with ``slow``, ``failing``, or ``well`` where its trouble is over.
+        """
+        states = dict.fromkeys(self._slow.find_confirmed(), "slow")
+        states |= dict.fromkeys(self._failing.find_confirmed(), "failing")
+        changes = [(n, s) for n, s in states.items() if self._known.get(n) != s]
+        changes += [(name, "well") for name in self._known if name not in states]
+        self._known = states
+        return sorted(changes)
+
     def tell(self) -> tuple[list, list]:
         """Return what to tell peers of slow and of failing targets."""
         return self._slow.tell(), self._failing.tell()
--- a/packages/cassiastair/cassiastair/forwarding/troubled_targets_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/troubled_targets_test.py
@@ -102,6 +102,20 @@
         self.troubled.answered("a", 1.0)
         assert not self.troubled.is_troubled("a")
 
+    def test_changes_are_told_once(self):
+        self.troubled.failed("a")
+        self.troubled.waited("b", 6.0)
+        assert self.troubled.find_changes() == []
+        self.clock.advance(0.5)
+        self.troubled.failed("a")
+        self.troubled.waited("b", 6.0)
+        assert self.troubled.find_changes() == [("a", "failing"), ("b", "slow")]
+        assert self.troubled.find_changes() == []
+        assert self.troubled.count() == 2
+        self.clock.advance(KEEP_S)
+        assert self.troubled.find_changes() == [("a", "well"), ("b", "well")]
+        assert self.troubled.count() == 0
+
     def test_a_failing_target_stays_so_though_it_answers_in_between(self):
         self.troubled.failed("a")
         self.troubled.answered("a", 1.0)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -227,6 +227,7 @@
         add("store_reading", "Whether this VM reads.", lambda: self.turns.reading)
         add("targets", "Targets that may get work.", lambda: len(self.book))
         add("targets_out_of_reach", "Of them.", self.book.count_unreachable)
+        add("targets_in_trouble", "Slow or failing.", self.troubled.count)
         add("peer_links", "Open links.", lambda: len(self.node.links))
         add("known_vms", "VMs that share bounds.", self.count_vms)
         add("requests_in_progress", "Now.", lambda: self.drain.in_progress)
@@ -280,7 +281,7 @@
         while True:
             self.book.tend()
             self.transport.tend()
-            self.node.share_trouble()
+            self._tend_troubled()
             self._forget_unused()
             heap.tend(len(self.news))
             due = self._clock.now() + TEND_S
@@ -291,6 +292,12 @@
             if self.pauses.pauses > paused:
                 self.log.warn("paused", "", lag_ms=round(self.lag * 1000))
 
+    def _tend_troubled(self) -> None:
+        """Tell peers which targets are in trouble, and log what has changed."""
+        self.node.share_trouble()
+        for name, state in self.troubled.find_changes():
+            self.log.warn("target trouble", "", target=name, state=state)
+
     def _forget_unused(self) -> None:
         """Forget what was learned of routes and services that are gone."""
         configuration = self.table.configuration
