Give each world of stand-ins an address of its own; a choice of 1.0 names the last

Ports were found, released, and used by the daemons a moment later, or again after a restart; connections of other processes take such ports meanwhile. Each process's VMs now listen on a loopback address of their own.

--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -56,6 +56,11 @@
         return f"{self.at:5.2f} s {self.kind} for {self.length:.2f} s ({self.choice})"
 
 
+def pick(names: list[str], choice: float) -> str:
+    """Return the name that a choice between 0 and 1, both included, stands for."""
+    return names[min(int(choice * len(names)), len(names) - 1)]
+
+
 def draw_plan(seed: int) -> list[Step]:
     """Return the steps of a seed, in the order of their times."""
     source = random.Random(seed)
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -9,7 +9,7 @@
 from ..world.caller import Caller
 from ..world.fleet import HOST, World, make_desk_route, make_search_route
 from .checks import Record, find_broken
-from .plan import FAULTS_S, SHARDS, VMS, Step, draw_plan
+from .plan import FAULTS_S, SHARDS, VMS, Step, draw_plan, pick
 from .proxy import FaultProxy
 
 CALLERS = 6
@@ -149,13 +149,13 @@
 
     def _pick_vm(self, step: Step) -> str:
         """Return the VM of a step."""
-        return f"vm{int(step.choice * VMS)}"
+        return pick(list(self._world.vms), step.choice)
 
     def _pick_target(self, step: Step) -> str:
         """Return the back end of a step, one that is in use."""
         used = (*self._shards, "desk")
         names = [n for n, b in self._world.back_ends.items() if b.spec.service in used]
-        return names[int(step.choice * len(names))]
+        return pick(names, step.choice)
 
     def _restart(self, name: str) -> None:
         """Start a VM again after its end."""
--- a/standins/soak/soak_test.py
+++ b/standins/soak/soak_test.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from .plan import KINDS, draw_plan
+from .plan import KINDS, draw_plan, pick
 from .soak import Soak
 
 SEEDS = (2, 3)  # a failing store with vanishing targets; two reshards with a stop
@@ -24,6 +24,12 @@
         drawn = {step.kind for seed in range(60) for step in draw_plan(seed)}
         assert drawn == set(KINDS)
 
+    def test_every_choice_names_something(self):
+        """Choices are rounded, so seed 7002 has one of 1.0."""
+        assert any(step.choice == 1.0 for step in draw_plan(7002))
+        assert pick(["a", "b"], 0.0) == "a"
+        assert pick(["a", "b"], 1.0) == "b"
+
 
 class TestSoak(TestCase):
     """The promises hold under faults."""
--- a/standins/world/fleet.py
+++ b/standins/world/fleet.py
@@ -82,6 +82,7 @@
         self.back_ends: dict[str, BackEnd] = {}
         self.vms: dict[str, EntryVm] = {}
         self.version = 0
+        self._host = make_loopback_host(os.getpid())
         self.shard_sets: list[tuple[str, ...]] = []
 
     def add_back_end(self, spec: BackEndSpec) -> BackEnd:
@@ -113,9 +114,10 @@
 
     def add_vms(self, count: int, store: tuple[str, int] | None = None) -> None:
         """Make settings for VMs; the first three are the seeds of all."""
-        ports = find_ports(4 * count)
+        host = self._host
+        ports = find_ports(4 * count, host)
         first = ports[2 : 4 * min(count, 3) : 4]
-        seeds = ", ".join(f'"127.0.0.1:{port}"' for port in first)
+        seeds = ", ".join(f'"{host}:{port}"' for port in first)
         address = store or self.store.address
         for number in range(count):
             name = f"vm{number}"
@@ -126,7 +128,7 @@
                 SETTINGS.format(
                     name=name,
                     zone=zone,
-                    host="127.0.0.1",
+                    host=host,
                     seeds=seeds,
                     front=own[0],
                     ready=own[1],
@@ -135,7 +137,7 @@
                 )
             )
             log = self.folder / f"{name}.log"
-            self.vms[name] = EntryVm(name, zone, "127.0.0.1", own, settings, log)
+            self.vms[name] = EntryVm(name, zone, host, own, settings, log)
 
     def start(self, name: str) -> None:
         """Start a VM's process."""
@@ -238,12 +240,21 @@
         self.stop()
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
+def make_loopback_host(number: int) -> str:
+    """Return a loopback address of this process's own.
+
+    A VM that starts again needs its old ports. On an address that nobody else uses,
+    they are not taken meanwhile by connections or by another world.
+    """
+    return f"127.{1 + (number >> 16) % 250}.{(number >> 8) % 256}.{1 + number % 254}"
+
+
+def find_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return free ports of a loopback address."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
+            sock.bind((host, 0))
         return [sock.getsockname()[1] for sock in sockets]
     finally:
         for sock in sockets:
--- a/standins/world/world_test.py
+++ b/standins/world/world_test.py
@@ -1,6 +1,7 @@
 """Whole sessions on stand-ins of the users' platform, with real processes."""
 
 import signal
+import socket
 import tempfile
 from pathlib import Path
 
@@ -16,6 +17,20 @@
 SETTLE_S = 20.0  # bound on waiting for something that takes moments
 
 
+class TestPorts(TestCase):
+    """Addresses of VMs that start again."""
+
+    def test_connections_of_others_do_not_take_a_vms_ports(self):
+        with tempfile.TemporaryDirectory() as folder, World(Path(folder)) as world:
+            world.add_vms(1)
+            vm = world.vms["vm0"]
+            other = socket.socket()
+            self.addCleanup(other.close)
+            other.bind(("127.0.0.1", vm.ports[0]))
+            other.listen()
+            eventlet.listen(vm.callers).close()
+
+
 class WorldCase(TestCase):
     """A small world: six shards of two back ends, a desk, three VMs."""
 
