End links outside the mesh after ten seconds

Cause: every VM dials the seeds, and kept these links for a minute. The seeds then pushed each change and each sighting to all VMs of their data centre. Change: such links end after 10 s, when members are long known.

--- a/packages/cassiastaird/cassiastaird/peers/keeper.py
+++ b/packages/cassiastaird/cassiastaird/peers/keeper.py
@@ -14,7 +14,7 @@
 TICK_S = 1.0  # interval of heartbeats and of looks at the mesh
 PATIENCE_S = 3.0  # time that the VM with the higher name waits to be dialled
 DIAL_TIMEOUT_S = 2.0
-UNWANTED_S = 60.0  # age at which a link outside the mesh is closed
+UNWANTED_S = 10.0  # age at which a link outside the mesh is closed; seeds have many
 POLL_S = 0.005
 
 
