--- a/standins/world/fleet.py
+++ b/standins/world/fleet.py
@@ -140,8 +140,10 @@
             self.vms[name] = EntryVm(name, zone, host, own, settings, log)
 
     def start(self, name: str) -> None:
-        """Start a VM's process."""
+        """Start a VM's process, unless it runs: faults that overlap both start it."""
         vm = self.vms[name]
+        if vm.process is not None and vm.process.poll() is None:
+            return
         env = {
             **os.environ,
             "CASSIASTAIR_BOOT": str(vm.settings),
--- a/standins/world/world_test.py
+++ b/standins/world/world_test.py
@@ -31,6 +31,19 @@
             eventlet.listen(vm.callers).close()
 
 
+class TestStart(TestCase):
+    """Processes of VMs."""
+
+    def test_a_second_start_leaves_no_process_behind(self):
+        with tempfile.TemporaryDirectory() as folder, World(Path(folder)) as world:
+            world.add_vms(1)
+            world.start("vm0")
+            first = world.vms["vm0"].process
+            world.start("vm0")
+            assert world.vms["vm0"].process is first
+        assert first.poll() is not None
+
+
 class WorldCase(TestCase):
     """A small world: six shards of two back ends, a desk, three VMs."""
 
