A soak that is ended ends its processes

Cause: SIGTERM ended the soak without its clean-up, and a shell starts background jobs with SIGINT ignored, so its VMs stayed. Both signals now end it like ctrl-C.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -1,5 +1,6 @@
 """Command line of the soak: `python -m standins.soak --seeds 5` or `--seed 7`."""
 
+import signal
 import sys
 import tempfile
 import time
@@ -47,5 +48,15 @@
     sys.exit(1 if failed else 0)
 
 
+def handle_ends() -> None:
+    """Let SIGINT and SIGTERM end the soak like ctrl-C, so that its processes end too.
+
+    A shell starts background jobs with SIGINT ignored.
+    """
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
+
+
 if __name__ == "__main__":
+    handle_ends()
     fire.Fire(run_soak)
