Replicate removals also to peers that are behind a full read

Cause: a replica that is loaded as a whole knows no removals from before that read, but its removed_floor stayed at the last dropped tombstone.

Change: a full read raises removed_floor to its revision; a peer below it gets a copy of all items; after a full read a heartbeat is sent instead of a push.

Ruled out: a list of gaps between reads; a list of changes that spans one is valid only for the peer that asked, and peers pass lists on.

--- a/packages/cassiastair/cassiastair/replication/node.py
+++ b/packages/cassiastair/cassiastair/replication/node.py
@@ -74,6 +74,9 @@
     def publish(self, after: int, items: list[StoreItem]) -> None:
         """Push changes that this VM has read from the store.
 
+        Changes of a full read may lack removals, so only a heartbeat is sent for them.
+        The peers then request what they need.
+
         Parameters
         ----------
         after : int
@@ -82,7 +85,10 @@
             All changes from there to the replica's revision.
         """
         self.counts.pushed += 1
-        self._push(self._make_changes(after, items), None)
+        if after < self.replica.removed_floor:
+            self._broadcast(self._make_heartbeat(), None)
+        else:
+            self._push(self._make_changes(after, items), None)
 
     def share_outliers(self) -> None:
         """Push the reports of slow and failing targets, if there are any."""
@@ -197,8 +203,8 @@
         self.counts.repaired += len(changed)
         if message.age >= 0:
             self.freshness.record(message.age)
-        if before >= 0:
-            self._push(self._make_changes(max(before, message.after), changed), link)
+        if before >= self.replica.removed_floor:
+            self._push(self._make_changes(before, changed), link)
         else:
             self._broadcast(self._make_heartbeat(), link)
 
--- a/packages/cassiastair/cassiastair/replication/replica.py
+++ b/packages/cassiastair/cassiastair/replication/replica.py
@@ -29,7 +29,9 @@
     revision : int
         Revision up to which the replica is complete; -1 before the first read.
     removed_floor : int
-        Highest revision of the tombstones dropped so far; -1 if none was dropped.
+        Revision up to which removals may be missing: that of the last full read, or
+        of the newest tombstone dropped if that is higher; -1 if none is missing. A
+        peer that is behind this revision needs a copy of all items.
     """
 
     def __init__(self, on_change: Callable[[list[StoreItem]], None]):
@@ -70,7 +72,10 @@
         """Merge a full read of the store; keys that are missing from it were removed.
 
         The tombstone of such a key gets the revision of the read, since the revision
-        of the removal is unknown. A read that is older than the replica is ignored.
+        of the removal is unknown. Keys that were both written and removed since the
+        replica's own revision have no tombstone, although a peer may hold them;
+        `removed_floor` therefore rises to the revision of the read. A read that is
+        older than the replica is ignored.
 
         Parameters
         ----------
@@ -95,7 +100,10 @@
             and item.value is not None
             and item.revision <= revision
         ]
-        return self.merge([*found, *removed], revision)
+        changed = [*found, *removed]
+        if revision > self.revision:
+            self.removed_floor = max(self.removed_floor, revision)
+        return self.merge(changed, revision)
 
     def _put(self, item: StoreItem) -> bool:
         """Store an item; return True if it is newer than the known one."""
@@ -126,7 +134,7 @@
         Returns
         -------
         list of StoreItem or None
-            None if tombstones after that revision were dropped; a peer that is at
+            None if removals after that revision may be missing; a peer that is at
             that revision then needs a copy of all items.
         """
         if revision < self.removed_floor:
