Answer a request that has arrived when its idle connection is closed

Change: a connection with unread bytes is not idle and stays open until they are answered, which closes it while the VM stops; a connection that was shut down reads no further request.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -13,6 +13,7 @@
 from .request_reader import RequestReader
 
 RECEIVE_BYTES = 65_536
+PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 TCP_INFO_BYTES = 104  # prefix of Linux's struct tcp_info that includes tcpi_rtt
 TCPI_RTT_OFFSET = 68  # tcpi_rtt is in microseconds
 TCPI_RTT = struct.Struct("=I")
@@ -67,8 +68,8 @@
         try:
             while not self._closing:
                 data = self._sock.recv(RECEIVE_BYTES)
-                if not data:
-                    break
+                if not data or self.closed:
+                    break  # an answer could not be sent any more
                 self._handle_data(data)
         except (OSError, EOFError):
             pass  # a reset, or a shutdown by the serving task
@@ -199,11 +200,18 @@
         self._shut_down()
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.is_idle:
+        """Close the connection unless a request is in progress or has arrived."""
+        if self.is_idle and not self._has_unread_data():
             self._closing = True
             self._shut_down()
 
+    def _has_unread_data(self) -> bool:
+        """Return True if the caller has sent bytes that were not read yet."""
+        try:
+            return bool(self._sock.fd.recv(1, PEEK_FLAGS))
+        except OSError:
+            return False  # nothing has arrived, or the connection is broken
+
 
 def read_rtt(sock) -> float:
     """Return the kernel's estimate of a connection's round-trip time in seconds.
