--- a/packages/cassiastair/cassiastair/forwarding/__init__.py
+++ b/packages/cassiastair/cassiastair/forwarding/__init__.py
@@ -7,6 +7,7 @@
 
 from .answer import CallerAnswer, ForwardedAnswer, MergedAnswer
 from .answer_deadlines import AnswerDeadlines
+from .connection_shares import ConnectionShares
 from .decisions import DecisionLog, NoDecisionLog
 from .dependencies import ForwardingDependencies
 from .forwarder import Forwarder
@@ -22,6 +23,7 @@
     "AnswerDeadlines",
     "CallerAnswer",
     "CallerRequest",
+    "ConnectionShares",
     "DecisionLog",
     "Forwarder",
     "ForwardingDependencies",
--- a/packages/cassiastair/cassiastair/forwarding/target_chooser.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_chooser.py
@@ -1,13 +1,15 @@
 """Choice of the target of a send among the targets of a service."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from .outlier_detector import OutlierDetector
+from .routed_target import RoutedTarget
 from .target_stats import RoutedTargetStats
 
 REMOTE_FACTOR = 1.6  # factor on the wait at targets in other data centres
 OUTLIER_FACTOR = 4.0  # factor on the wait at slow or failing targets
+NEW_CONNECTION_FACTOR = 3.0  # factor on the wait at targets without a kept connection
 # Healthy targets from which on outlier reports of peers are used. With two targets, a
 # report would shift nearly all load to the other one, and this VM sends to each often
 # enough to judge by its own statistics.
@@ -25,7 +27,7 @@
     in backoff are chosen only if no healthy target remains.
 
     Targets in other data centres count as slower, because traffic between data
-    centres is charged.
+    centres is charged, and so do targets to which this VM keeps no connections.
 
     Parameters
     ----------
@@ -35,12 +37,21 @@
         Data centre of this VM.
     outliers : OutlierDetector
         Slow and failing targets, as seen by the VMs of the data centre.
+    keeps_connection : callable
+        Returns whether this VM keeps connections to a target.
     """
 
-    def __init__(self, rng: random.Random, data_centre: str, outliers: OutlierDetector):
+    def __init__(
+        self,
+        rng: random.Random,
+        data_centre: str,
+        outliers: OutlierDetector,
+        keeps_connection: Callable[[RoutedTarget], bool],
+    ):
         self._rng = rng
         self._data_centre = data_centre
         self._outliers = outliers
+        self._keeps_connection = keeps_connection
 
     def choose(
         self, candidates: Sequence[RoutedTargetStats], now: float, stall_time: float
@@ -90,6 +101,8 @@
         wait = max(candidate.latency_ratio, 0.1) * (1 + candidate.in_flight)
         if candidate.target.data_centre != self._data_centre:
             wait *= REMOTE_FACTOR
+        if not self._keeps_connection(candidate.target):
+            wait *= NEW_CONNECTION_FACTOR
         if use_peer_reports and self._outliers.is_outlier(candidate.target.name):
             wait *= OUTLIER_FACTOR
         return wait
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -84,7 +84,13 @@
         super().setUp()
         self.clock = ManualClock(100.0)
         self.outliers = OutlierDetector(self.clock)
-        self.chooser = RoutedTargetChooser(random.Random(1), "dc0", self.outliers)
+        self.without_connection: set[str] = set()
+        self.chooser = RoutedTargetChooser(
+            random.Random(1),
+            "dc0",
+            self.outliers,
+            lambda target: target.name not in self.without_connection,
+        )
         self.targets = [RoutedTargetStats(make_target(n, "s")) for n in "abc"]
 
     def choose(self, count: int = 600, now: float = 100.0) -> dict[str, int]:
@@ -103,6 +109,12 @@
         self.outliers.merge_reports([], [["a", 0.9, 0.1]])
         assert min(self.choose()[name] for name in "ab") > 200
 
+    def test_a_target_without_a_kept_connection_gets_few_sends(self):
+        self.without_connection.add("a")
+        assert 0 < self.choose()["a"] < 60
+        self.outliers.merge_reports([], [["b", 0.9, 0.1], ["c", 0.9, 0.1]])
+        assert self.choose()["a"] > 150
+
     def test_equal_targets_share_the_sends(self):
         assert min(self.choose().values()) > 150
 
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -77,6 +77,10 @@
     def has_free_connection(self, target: RoutedTarget) -> bool:
         """Return True if a request to a target gets a connection without waiting."""
 
+    @abstractmethod
+    def keeps_connection(self, target: RoutedTarget) -> bool:
+        """Return True if connections to a target are kept between requests."""
+
     @abstractmethod
     def probe(self, target: RoutedTarget) -> bool:
         """Open a connection to a target; return whether that succeeded."""
--- a/packages/cassiastair/cassiastair/membership/member_list.py
+++ b/packages/cassiastair/cassiastair/membership/member_list.py
@@ -91,6 +91,11 @@
         """Return the number of other known VMs."""
         return len(self._vms)
 
+    def count_in(self, data_centre: str) -> int:
+        """Return the number of known VMs in a data centre, this one included."""
+        vms = (self.own, *self._vms.values())
+        return sum(1 for vm in vms if vm.data_centre == data_centre)
+
     def live_local_names(self) -> list[str]:
         """Return the names of the other live VMs of the own data centre."""
         own = self.own.data_centre
--- a/packages/cassiastair/cassiastair/testing/fake_transport.py
+++ b/packages/cassiastair/cassiastair/testing/fake_transport.py
@@ -99,6 +99,10 @@
         """Return True; connections are not limited."""
         return True
 
+    def keeps_connection(self, target: RoutedTarget) -> bool:
+        """Return True; connections are not limited."""
+        return True
+
     def probe(self, target: RoutedTarget) -> bool:
         """Return True if the target is reachable."""
         return self.get(target.name).reachable
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -73,7 +73,9 @@
             table=self.table,
             registry=self.registry,
             transport=self.transport,
-            chooser=RoutedTargetChooser(rng, "dc0", self.outliers),
+            chooser=RoutedTargetChooser(
+                rng, "dc0", self.outliers, self.transport.keeps_connection
+            ),
             retry_budget=self.retry_budget,
             latencies=RouteLatencies(clock),
             outliers=self.outliers,
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -9,6 +9,7 @@
 from cassiastair.data import Vm
 from cassiastair.errors import SettingsError
 from cassiastair.forwarding import (
+    ConnectionShares,
     Forwarder,
     ForwardingDependencies,
     OutlierDetector,
@@ -120,9 +121,14 @@
         settings = self.settings
         self.members = MemberList(self.own, self._clock)
         self.table = RoutingTable(self._rng)
-        self.transport = RoutedTransport(
-            codec, self._clock, self._get_connection_limit, self.count_vms
+        shares = ConnectionShares(
+            self.own.name,
+            self.own.data_centre,
+            self._get_connection_limit,
+            self.count_vms,
+            self.members.count_in,
         )
+        self.transport = RoutedTransport(codec, self._clock, shares)
         self.registry = RoutedTargetRegistry(
             self._clock, settings.target_drain_s, self.transport.close_idle
         )
@@ -134,7 +140,12 @@
             table=self.table,
             registry=self.registry,
             transport=self.transport,
-            chooser=RoutedTargetChooser(self._rng, settings.data_centre, self.outliers),
+            chooser=RoutedTargetChooser(
+                self._rng,
+                settings.data_centre,
+                self.outliers,
+                self.transport.keeps_connection,
+            ),
             retry_budget=RetryBudget(self._clock, limits, self.count_vms),
             latencies=RouteLatencies(self._clock),
             outliers=self.outliers,
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -1,10 +1,9 @@
 """Sends callers' requests to routed targets over pooled connections."""
 
-from collections.abc import Callable
-
 from cassiastair.clock import Clock
 from cassiastair.forwarding import (
     CallerRequest,
+    ConnectionShares,
     RoutedTarget,
     TargetReply,
     TargetTransport,
@@ -26,10 +25,9 @@
 AT_MOST_ONCE_MAX_IDLE_S = 1.0  # idle time limit for at-most-once requests
 MIN_TIME_LEFT_S = 0.002  # a target cannot answer in less
 PROBE_TIMEOUT_S = 0.3  # many round trips to any data centre of a region
-MIN_CONNECTIONS = 2  # one stays free while a slow answer occupies the other
 
 
-class ConnectionShare(ConcurrencyLimit):
+class ShareLimit(ConcurrencyLimit):
     """Limit of this VM's connections to a target: its share of the target's limit.
 
     Parameters
@@ -57,25 +55,16 @@
         Encodes requests and decodes replies.
     clock : Clock
         Source of time.
-    get_connection_limit : callable
-        Returns how many connections each target of a service accepts.
-    get_vm_count : callable
-        Returns the number of VMs that share these connections.
+    shares : ConnectionShares
+        This VM's part of the connections that each target accepts.
     """
 
-    def __init__(
-        self,
-        codec: HttpCodec,
-        clock: Clock,
-        get_connection_limit: Callable[[str], int],
-        get_vm_count: Callable[[], int],
-    ):
+    def __init__(self, codec: HttpCodec, clock: Clock, shares: ConnectionShares):
         self._codec = codec
         self._clock = clock
-        self._get_connection_limit = get_connection_limit
-        self._get_vm_count = get_vm_count
+        self._shares = shares
         self._pools: dict[str, ConnectionPool] = {}
-        self._shares: dict[str, ConnectionShare] = {}
+        self._limits: dict[str, ShareLimit] = {}
 
     def send(
         self,
@@ -125,6 +114,8 @@
             else:
                 pool.discard(connection)
             raise
+        if not self.keeps_connection(pool.target):
+            connection.reusable = False
         pool.release(connection)
         return decoded
 
@@ -155,27 +146,30 @@
             return pool
         if pool is not None:
             pool.close()
-        share = self._shares.get(target.service)
-        if share is None:
-            share = ConnectionShare(self._compute_share(target.service))
-            self._shares[target.service] = share
-        pool = ConnectionPool(target, share, self._clock)
+        limit = self._limits.get(target.service)
+        if limit is None:
+            limit = ShareLimit(self._shares.limit(target.service))
+            self._limits[target.service] = limit
+        pool = ConnectionPool(target, limit, self._clock)
         self._pools[target.name] = pool
         return pool
 
-    def _compute_share(self, service: str) -> int:
-        """Return how many connections this VM may have to one target."""
-        share = self._get_connection_limit(service) // max(1, self._get_vm_count())
-        return max(MIN_CONNECTIONS, share)
+    def keeps_connection(self, target: RoutedTarget) -> bool:
+        """Return True if connections to a target are kept between requests."""
+        return self._shares.keeps(target.name, target.service, target.data_centre)
 
     def update_shares(self) -> None:
         """Compute the shares anew and remove those of services without a pool."""
+        self._shares.forget_decisions()
         used = {pool.target.service for pool in self._pools.values()}
-        for service in list(self._shares):
+        for service in list(self._limits):
             if service in used:
-                self._shares[service].current = self._compute_share(service)
+                self._limits[service].current = self._shares.limit(service)
             else:
-                del self._shares[service]
+                del self._limits[service]
+        for pool in self._pools.values():
+            if not self.keeps_connection(pool.target):
+                pool.close()
 
     def count_opened(self) -> int:
         """Return how many connections were opened by the current pools."""
@@ -201,7 +195,7 @@
             return True
         except OSError:
             return False
-        if pool.size:
+        if pool.size or not self.keeps_connection(pool.target):
             connection.close()
         else:
             pool.add_idle(connection)
