Count a send that has ended as pending until its outcome is handled

Cause: a busy event loop lets several sends of one shard end before the search goes on. A send that had ended but whose outcome was still queued counted neither as pending nor as a possible run, so a third target got a request that may run at two at most.

Before: the new test fails, 3 arrivals.

--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -34,6 +34,9 @@
         Whether the search has given up on the shard.
     sends : list of Send
         All sends to the shard.
+    handled_count : int
+        Number of sends whose outcome the search has handled. A send that has ended
+        counts as pending until then, since its request may have run.
     tried : set of str
         Targets that were sent to since the last backoff.
     possible_runs : int
@@ -47,6 +50,7 @@
         "reply",
         "failed",
         "sends",
+        "handled_count",
         "tried",
         "possible_runs",
         "backoffs",
@@ -57,10 +61,16 @@
         self.reply: TargetReply | None = None
         self.failed = False
         self.sends: list[Send] = []
+        self.handled_count = 0
         self.tried: set[str] = set()
         self.possible_runs = 0
         self.backoffs = 0
 
+    @property
+    def pending_count(self) -> int:
+        """Number of sends whose outcome was not handled yet."""
+        return len(self.sends) - self.handled_count
+
     @property
     def is_open(self) -> bool:
         """Whether the shard may still contribute a part."""
@@ -172,7 +182,7 @@
         """
         candidates = self._find_untried(shard)
         if not candidates:
-            if not any(not send.ended for send in shard.sends):
+            if not shard.pending_count:
                 self._give_up(shard)
             return False
         now = self._deps.clock.now()
@@ -200,8 +210,7 @@
 
     def _may_send_extra(self, shard: ShardState) -> bool:
         """Spend an extra send on a shard; return whether its limits allow it."""
-        pending = sum(1 for send in shard.sends if not send.ended)
-        if shard.possible_runs + pending >= self._route.max_attempts:
+        if shard.possible_runs + shard.pending_count >= self._route.max_attempts:
             return False
         return self._deps.retry_budget.try_spend(shard.service)
 
@@ -218,6 +227,7 @@
     def _handle_outcome(self, shard: ShardState, send: Send) -> None:
         """Record a successful reply, or handle a failure."""
         outcome = send.outcome
+        shard.handled_count += 1
         if isinstance(outcome, TargetReply) and outcome.succeeded:
             if shard.is_open:
                 shard.reply = outcome
@@ -235,7 +245,7 @@
         if not shard.is_open:
             return
         self._log_failure(shard, send)
-        if any(not other.ended for other in shard.sends):
+        if shard.pending_count:
             return
         needs_no_budget = isinstance(outcome, ConnectFailure)
         if self._find_untried(shard):
--- a/packages/cassiastair/cassiastair/forwarding/scatter_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter_test.py
@@ -348,6 +348,34 @@
         assert len(bench.transport.get("s0.0").arrivals) == before
 
 
+class TestSimultaneousOutcomes(TestCase):
+    """Sends to one shard that end at the same moment."""
+
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="routes: both sends to a shard fail at the same moment",
+    )
+    @in_virtual_time
+    def test_two_failed_runs_at_once_use_up_two_attempts(self, clock):
+        """A busy event loop lets several sends end before the search continues.
+
+        The first send and its hedge end at the same moment, each with an error of the
+        target. Both may have run, so the third target must get no request.
+        """
+        bench = set_up(clock, shards=8, replicas=3, lowest=0.5)
+        ends_at = clock.now() + 0.06
+        for shard in range(8):
+            for replica in range(3):
+                name = f"s{shard}.{replica}"
+                reply = make_reply(bench.registry.find(name).target, 500)
+                target = bench.transport.get(name)
+                target.latency = lambda: ends_at - clock.now()
+                target.override = lambda reply=reply: reply
+        self.assertRaises((RunUnknownError, DeadlineError), bench.run)
+        arrivals = [bench.count_arrivals(f"s{shard}") for shard in range(8)]
+        assert max(arrivals) == 2
+
+
 class TestRefusingTargets(TestCase):
     """Targets that refuse part of their requests although they are idle."""
 
