--- a/packages/cassiastair/cassiastair/forwarding/retry_budget.py
+++ b/packages/cassiastair/cassiastair/forwarding/retry_budget.py
@@ -11,7 +11,6 @@
 BUCKETS = 10  # buckets into which the sliding window is divided
 RATIO_SHARE = 0.8  # used part of the ratio; the rest covers unaligned windows
 SLACK_SHARE = 0.8  # used part of the slack; the rest covers an outdated VM count
-RETRY_RESERVE = 0.25  # part of the allowance that hedges leave to retries
 STARTUP_SLACK_SHARE = 0.15  # used part of the slack in the first window after a start
 
 
@@ -68,19 +67,18 @@
         """Count the first send of a request to a service."""
         self._get_window(service).add(0)
 
-    def try_spend(self, service: str, is_hedge: bool = False) -> bool:
-        """Count an extra send if the limits allow it; return whether they do.
-
-        Hedges leave a reserve: a hedge may save a late part, but without a retry after
-        a refusal the part is certainly lost.
-        """
+    def try_spend(self, service: str) -> bool:
+        """Count an extra send if the limits allow it; return whether they do."""
         window = self._get_window(service)
-        share = 1.0 - RETRY_RESERVE if is_hedge else 1.0
-        if window.extra_sends + 1 > share * self._allowance(window):
+        if not self._allows(window):
             return False
         window.add(1)
         return True
 
+    def _allows(self, window: "_Window") -> bool:
+        """Return True if one more extra send keeps within the limits."""
+        return window.extra_sends + 1 <= self._allowance(window)
+
     def _allowance(self, window: "_Window") -> float:
         """Return the number of extra sends allowed in the window."""
         is_starting = self._clock.now() < self._window_full_at
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -208,11 +208,11 @@
         unblocked = [c for c in candidates if has_free_connection(c.target)]
         return unblocked or list(candidates)
 
-    def _may_send_extra(self, shard: ShardState, is_hedge: bool = False) -> bool:
+    def _may_send_extra(self, shard: ShardState) -> bool:
         """Spend an extra send on a shard; return whether its limits allow it."""
         if shard.possible_runs + shard.pending_count >= self._route.max_attempts:
             return False
-        return self._deps.retry_budget.try_spend(shard.service, is_hedge)
+        return self._deps.retry_budget.try_spend(shard.service)
 
     def _hedge(self, shard: ShardState) -> None:
         """Send to a second target of a shard that has not answered in time."""
@@ -221,7 +221,7 @@
                 send.record_late()
         if not self._find_untried(shard):
             return
-        if self._may_send_extra(shard, is_hedge=True):
+        if self._may_send_extra(shard):
             self._send(shard, "hedge")
 
     def _handle_outcome(self, shard: ShardState, send: Send) -> None:
