Cut off endless replies; start a task again that an error ended

Change: bytes that are not of a body are bounded; a task that an error ended is logged and started again after 0.5 s; setsockopt fails like accept.

A long body in small chunks still works.

--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -88,13 +88,13 @@
         while True:
             try:
                 sock, _ = listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as error:
                 if self._listener is None:
                     return
                 self._decisions.warn("accept failed", "", reason=repr(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection = CallerConnection(sock, self)
             self._connections.add(connection)
             eventlet.spawn_n(connection.run)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -57,6 +57,7 @@
 CROSS_DEGREE = 2  # links to other data centres, which form one ring
 ACCEPTING_SHARE = 0.5  # share of the stop grace for which connections are accepted
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
+TASK_RESTART_S = 0.5  # pause before a task that an error ended is started again
 STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are abandoned
 
 
@@ -294,14 +295,23 @@
         return bool(peers) and self.settings.peer_address not in peers
 
     def _run_task(self, task, *args) -> None:
-        """Run a task that must not end; log the exception if one ends it."""
-        try:
-            task(*args)
-        except Exception as error:
-            self.log.warn(
-                "task ended", "", task=task.__qualname__, reason=repr(error), trace=True
-            )
-            raise
+        """Run a task that must not end; log an exception that ends it and restart it.
+
+        Without the restart, one unexpected error would leave the VM without, for
+        example, any further change of the store, although it still serves callers.
+        """
+        while True:
+            try:
+                return task(*args)
+            except Exception as error:
+                self.log.warn(
+                    "task ended",
+                    "",
+                    task=task.__qualname__,
+                    reason=repr(error),
+                    trace=True,
+                )
+            eventlet.sleep(TASK_RESTART_S)
 
     def _run_maintenance(self) -> None:
         """Remove expired state, freeze the heap and detect pauses at intervals."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import orjson
+import pytest
 from cassiastair.clock import ManualClock
 from cassiastair.errors import (
     CassiastairError,
@@ -17,6 +18,7 @@
 from testtools import TestCase
 
 from .caller_connection import CallerConnection
+from .entry_daemon import EntryDaemon
 from .event_log import MAX_BURST_LINES, EventLog
 from .full_reply_reader import FullReplyReader
 from .handler import RequestHandler
@@ -111,6 +113,80 @@
         )
 
 
+class TestEndlessReplies(TestCase):
+    """Bytes of a target that never make up a reply."""
+
+    ENDLESS = {
+        "status line": (b"HTTP/1.1 200 ", b"x" * 4096),
+        "header value": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 4096),
+        "headers": (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 600),
+        "chunk extension": (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+            b"x" * 4096,
+        ),
+        "trailers": (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+            b"A: b\r\n" * 600,
+        ),
+    }
+
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="bytes that are no answer come without end",
+    )
+    def test_endless_heads_and_frames_are_cut_off(self):
+        for kind, (start, more) in self.ENDLESS.items():
+            reader = FullReplyReader()
+            fed = 0
+            with self.assertRaises(OSError, msg=kind):
+                reader.feed(start)
+                while fed < 1_000_000:
+                    reader.feed(more)
+                    fed += len(more)
+            assert fed <= 150_000, kind
+
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="a body comes without end",
+    )
+    def test_an_endless_body_is_cut_off(self):
+        reader = FullReplyReader()
+        reader.feed(b"HTTP/1.1 200 OK\r\n\r\n")
+        with self.assertRaises(OSError):
+            for _ in range(300):
+                reader.feed(b"x" * 100_000)
+
+    def test_a_body_in_small_chunks_is_complete(self):
+        reader = FullReplyReader()
+        reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(100_000):
+            reader.feed(b"1\r\na\r\n")
+        reader.feed(b"0\r\n\r\n")
+        assert len(reader.build_reply().body) == 100_000
+
+
+class TestTaskRestart(TestCase):
+    """Tasks of the daemon that an unexpected error ends."""
+
+    @pytest.mark.proof(
+        promise="cut off",
+        failure="an unexpected error ends a task of the daemon",
+    )
+    def test_a_task_is_started_again(self):
+        daemon = mock.Mock()
+        runs = []
+
+        def run_reader():
+            runs.append(len(runs))
+            if len(runs) < 3:
+                raise ValueError("unexpected")
+
+        with mock.patch("eventlet.sleep"):
+            EntryDaemon._run_task(daemon, run_reader)
+        assert len(runs) == 3
+        assert daemon.log.warn.call_count == 2
+
+
 class EchoHandler(RequestHandler):
     """Answers with the request's path after a pause that the test sets."""
 
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -3,6 +3,8 @@
 import httptools
 
 MAX_BODY_BYTES = 16_000_000
+MAX_HEAD_BYTES = 65_536  # status line, headers and trailers together
+MAX_FRAMING_PER_BODY_BYTE = 8  # chunks of a single byte have 5 bytes of framing
 
 
 class BadReplyError(OSError):
@@ -26,6 +28,7 @@
         "_parser",
         "_chunks",
         "_body_size",
+        "_received",
         "_message_count",
     )
 
@@ -35,6 +38,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: list[bytes] = []
         self._body_size = 0
+        self._received = 0
         self._message_count = 0
 
     @property
@@ -61,6 +65,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise BadReplyError(f"not an HTTP reply: {error}") from error
+        self._received += len(data)
+        framing = self._received - self._body_size
+        if framing > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size:
+            raise BadReplyError(f"more than {MAX_HEAD_BYTES} bytes are not of a body")
         if self._body_size > MAX_BODY_BYTES:
             raise BadReplyError(f"the reply is larger than {MAX_BODY_BYTES} bytes")
 
