Serve connections that are new when a VM stops listening

Connections in its backlog were reset with the requests on them, and one accepted a moment before was closed as idle although its first request was on the way. The process also ended as soon as no request was in progress, although one might just have been read.

Change: what the kernel has accepted is accepted; a connection that has carried no request yet stays open for 0.5 s; the process ends when no connection is open, or at the end of the grace as before.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -13,6 +13,7 @@
 from .request_reader import RequestReader
 
 RECEIVE_BYTES = 65_536
+FIRST_REQUEST_WAIT_S = 0.5  # time that a stopping VM gives a new connection to send
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 TCP_INFO_BYTES = 104  # prefix of Linux's struct tcp_info that includes tcpi_rtt
 TCPI_RTT_OFFSET = 68  # tcpi_rtt is in microseconds
@@ -56,6 +57,7 @@
         self._closing = False
         self._last_activity_at = handler.clock.now()
         self._rtt: float | None = None
+        self._is_unused = True
         self.closed = False
 
     @property
@@ -79,6 +81,7 @@
 
     def _handle_data(self, data: bytes) -> None:
         """Parse received bytes and start serving the complete requests."""
+        self._is_unused = False
         if not self._reader.partial:
             self._last_activity_at = self._handler.clock.now()
         self._reader.limits = self._handler.limits
@@ -205,6 +208,12 @@
             self._closing = True
             self._shut_down()
 
+    def close_for_stop(self, now: float) -> None:
+        """Close an idle connection, a new one only after it had time for a request."""
+        age_s = now - self._last_activity_at
+        if not self._is_unused or age_s > FIRST_REQUEST_WAIT_S:
+            self.close_idle()
+
     def _has_unread_data(self) -> bool:
         """Return True if the caller has sent bytes that were not read yet."""
         try:
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -7,6 +7,7 @@
 from cassiastair.forwarding import DecisionLog, Forwarder
 from cassiastair.routing import CallerLimits, RoutingTable
 from eventlet.green import socket
+from eventlet.greenio import GreenSocket
 
 from ..drain import Drain
 from .caller_connection import CallerConnection
@@ -95,9 +96,13 @@
                 self._decisions.warn("accept failed", "", reason=repr(error))
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
-            connection = CallerConnection(sock, self)
-            self._connections.add(connection)
-            eventlet.spawn_n(connection.run)
+            self._start_connection(sock)
+
+    def _start_connection(self, sock) -> None:
+        """Serve an accepted connection in a task of its own."""
+        connection = CallerConnection(sock, self)
+        self._connections.add(connection)
+        eventlet.spawn_n(connection.run)
 
     def _close_timed_out(self) -> None:
         """Close connections that time out, for as long as the process runs."""
@@ -107,13 +112,33 @@
             for connection in list(self._connections):
                 connection.close_if_timed_out(now)
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     def stop_listening(self) -> None:
-        """Accept no more connections and close the idle ones."""
+        """Stop listening; connections that the kernel has accepted are still served."""
         listener, self._listener = self._listener, None
-        if listener is not None:
-            listener.close()
+        if listener is None:
+            return
+        self._accept_pending(listener)
+        listener.close()
+
+    def _accept_pending(self, listener) -> None:
+        """Accept the connections that wait, without waiting for further ones."""
+        while True:
+            try:
+                sock, _ = listener.fd.accept()
+            except OSError:
+                return  # none is left
+            self._start_connection(GreenSocket(sock))
+
+    def close_idle_connections(self) -> None:
+        """Close the connections without a request; called repeatedly during a stop."""
+        now = self.clock.now()
         for connection in list(self._connections):
-            connection.close_idle()
+            connection.close_for_stop(now)
 
     def answer(self, message: HttpRequest, caller_rtt: float) -> HttpReply:
         """Answer a request, counting it as in progress meanwhile."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -369,9 +369,10 @@
         self.drain.draining = True
         eventlet.sleep(grace_s * ACCEPTING_SHARE)
         self.server.stop_listening()
-        while self.drain.in_progress:
+        while self.server.open_count:
             if self._clock.now() - started > grace_s - STOP_MARGIN_S:
                 break
+            self.server.close_idle_connections()
             eventlet.sleep(0.02)
         all_finished = not self.drain.in_progress
         self.node.send_bye()
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -18,6 +18,7 @@
 from testtools import TestCase
 
 from .caller_connection import CallerConnection
+from .caller_server import CallerServer
 from .entry_daemon import EntryDaemon
 from .event_log import MAX_BURST_LINES, EventLog
 from .full_reply_reader import FullReplyReader
@@ -311,6 +312,61 @@
         assert b" 408 " in self.receive()
 
 
+class EchoServer(CallerServer):
+    """Answers each request with its path, without a forwarder."""
+
+    def __init__(self):
+        table = mock.Mock(limits=CallerLimits())
+        others = [mock.Mock() for _ in range(5)]
+        super().__init__(others[0], table, *others[1:], lambda: False, ManualClock())
+
+    def answer(self, message: HttpRequest, caller_rtt: float) -> HttpReply:
+        """Return the path."""
+        return HttpReply(200, (), message.url)
+
+
+class TestStopListening(TestCase):
+    """Connections that are new when a VM stops listening."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = EchoServer()
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.server._listener = self.listener  # the accepting task has not run yet
+        self.caller = eventlet.connect(self.listener.getsockname())
+        self.caller.settimeout(5.0)
+        self.addCleanup(self.caller.close)
+
+    def stop(self) -> None:
+        """Stop listening and close idle connections as the daemon does."""
+        self.server.stop_listening()
+        self.server.close_idle_connections()
+
+    @pytest.mark.proof(
+        promise="planned stop",
+        failure="the kernel has accepted a connection, the VM has not",
+    )
+    def test_a_request_on_a_connection_in_the_backlog_is_answered(self):
+        self.caller.sendall(GET)
+        self.stop()
+        assert self.caller.recv(65_536).endswith(b"/a")
+
+    def test_a_new_connection_gets_time_for_its_first_request(self):
+        self.stop()
+        eventlet.sleep(0.01)
+        self.caller.sendall(GET)
+        assert self.caller.recv(65_536).endswith(b"/a")
+
+    def test_a_connection_without_a_request_is_closed_in_the_end(self):
+        self.stop()
+        eventlet.sleep(0.01)
+        self.server.clock.advance(0.6)
+        self.server.close_idle_connections()
+        assert self.caller.recv(65_536) == b""
+        eventlet.sleep(0.01)
+        assert self.server.open_count == 0
+
+
 class TestEventLog(TestCase):
     """Sampling, rate limit and non-blocking writes of the log."""
 
