Trial: remember failing targets for 15 s instead of 3 s

Hypothesis: a target that is avoided gets one send in sixteen, so its failures come 5 to 15 s apart and its report expires between them; the VMs go back to it, use up their extra sends and avoid it again.

--- a/packages/cassiastair/cassiastair/forwarding/outlier_detector.py
+++ b/packages/cassiastair/cassiastair/forwarding/outlier_detector.py
@@ -11,6 +11,10 @@
 from .outlier_reports import OutlierReports
 
 SLOW_RATIO = 2.5  # latency relative to the mean above which a target counts as slow
+SLOW_EXPIRE_S = 3.0  # time from the last observation of a slow target
+# The same for a failing target. Once it is avoided it gets few sends, so that seconds
+# pass between two failures although it fails as often as before.
+FAILING_EXPIRE_S = 15.0
 NORMAL_RATIO = 2.0  # relative latency below which reports of slowness are retracted
 
 
@@ -24,8 +28,8 @@
     """
 
     def __init__(self, clock: Clock):
-        self._slow = OutlierReports(clock)
-        self._failing = OutlierReports(clock)
+        self._slow = OutlierReports(clock, SLOW_EXPIRE_S)
+        self._failing = OutlierReports(clock, FAILING_EXPIRE_S)
         self._reported: dict[str, str] = {}
 
     def record_wait(self, name: str, ratio: float) -> None:
--- a/packages/cassiastair/cassiastair/forwarding/outlier_detector_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/outlier_detector_test.py
@@ -6,8 +6,10 @@
 
 from ..clock import ManualClock
 from ..errors import PeerProtocolError
-from .outlier_detector import OutlierDetector
-from .outlier_reports import EXPIRE_AFTER_S, MAX_EXPORTED, OutlierReports
+from .outlier_detector import FAILING_EXPIRE_S, OutlierDetector
+from .outlier_reports import MAX_EXPORTED, OutlierReports
+
+EXPIRE_AFTER_S = 3.0
 
 
 class TestOutlierReports(TestCase):
@@ -16,7 +18,7 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock(100.0)
-        self.reports = OutlierReports(self.clock)
+        self.reports = OutlierReports(self.clock, EXPIRE_AFTER_S)
 
     def observe_twice(self, gap: float) -> None:
         """Record two observations of a target."""
@@ -54,7 +56,7 @@
         assert self.reports.is_confirmed("a")
 
     def test_observations_of_two_vms_confirm_each_other(self):
-        peer = OutlierReports(self.clock)
+        peer = OutlierReports(self.clock, EXPIRE_AFTER_S)
         self.reports.add("a")
         self.clock.advance(0.5)
         peer.add("a")
@@ -66,7 +68,7 @@
     @settings(max_examples=100, derandomize=True, database=None, deadline=None)
     @given(st.permutations([[2.0, 1.5], [1.0, 0.2], [1.6, 1.6], [0.4, 0.4]]))
     def test_merging_is_commutative_and_idempotent(self, ages):
-        reports = OutlierReports(ManualClock(100.0))
+        reports = OutlierReports(ManualClock(100.0), EXPIRE_AFTER_S)
         for first, last in [*ages, *ages]:
             reports.merge([["a", first, last]])
         assert reports.export() == [["a", 2.0, 0.2]]
@@ -112,7 +114,7 @@
         assert self.detector.find_changes() == [("a", "failing"), ("b", "slow")]
         assert self.detector.find_changes() == []
         assert self.detector.count() == 2
-        self.clock.advance(EXPIRE_AFTER_S)
+        self.clock.advance(FAILING_EXPIRE_S)
         assert self.detector.find_changes() == [("a", "well"), ("b", "well")]
         assert self.detector.count() == 0
 
@@ -123,5 +125,5 @@
         self.detector.record_failure("a")
         self.detector.record_answer("a", 1.0)
         assert self.detector.is_outlier("a")
-        self.clock.advance(EXPIRE_AFTER_S)
+        self.clock.advance(FAILING_EXPIRE_S)
         assert not self.detector.is_outlier("a")
--- a/packages/cassiastair/cassiastair/forwarding/outlier_reports.py
+++ b/packages/cassiastair/cassiastair/forwarding/outlier_reports.py
@@ -10,7 +10,6 @@
 from ..errors import PeerProtocolError
 
 CONFIRM_AFTER_S = 0.4  # longer than the usual pauses of a target
-EXPIRE_AFTER_S = 3.0  # time from the last observation to the end of a report
 MAX_EXPORTED = 64  # reports in one message
 
 
@@ -40,10 +39,13 @@
     ----------
     clock : Clock
         Source of time.
+    expire_after : float
+        Seconds from the last observation to the end of a report.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, expire_after: float):
         self._clock = clock
+        self._expire_after = expire_after
         self._reports: dict[str, OutlierReport] = {}
         self._retracted_at: dict[str, float] = {}
 
@@ -69,7 +71,7 @@
         first = max(new.first, retracted_at)
         last = new.last
         known = self._reports.get(name)
-        if known is not None and last - known.last < EXPIRE_AFTER_S:
+        if known is not None and last - known.last < self._expire_after:
             first = min(first, known.first)
             last = max(last, known.last)
         self._reports[name] = OutlierReport(first, last)
@@ -79,7 +81,7 @@
         report = self._reports.get(name)
         if report is None or not report.confirmed:
             return False
-        return self._clock.now() - report.last < EXPIRE_AFTER_S
+        return self._clock.now() - report.last < self._expire_after
 
     def find_confirmed(self) -> set[str]:
         """Return the names of all targets with a confirmed report."""
@@ -97,7 +99,9 @@
         """
         now = self._clock.now()
         fresh = [
-            (n, s) for n, s in self._reports.items() if now - s.last < EXPIRE_AFTER_S
+            (n, s)
+            for n, s in self._reports.items()
+            if now - s.last < self._expire_after
         ]
         fresh.sort(key=lambda item: -item[1].last)
         return [
@@ -126,12 +130,12 @@
             ages = (first_age, last_age)
             if not isinstance(name, str) or not all(type(a) is float for a in ages):
                 raise PeerProtocolError("an outlier report is malformed")
-            if 0 <= last_age < EXPIRE_AFTER_S and last_age <= first_age:
+            if 0 <= last_age < self._expire_after and last_age <= first_age:
                 self._merge_report(name, OutlierReport(now - first_age, now - last_age))
 
     def remove_expired(self) -> None:
         """Remove expired reports and retractions; called about twice a second."""
-        limit = self._clock.now() - EXPIRE_AFTER_S
+        limit = self._clock.now() - self._expire_after
         for name in [n for n, seen in self._reports.items() if seen.last < limit]:
             del self._reports[name]
         for name in [n for n, at in self._retracted_at.items() if at < limit]:
--- a/packages/cassiastair/cassiastair/forwarding/scatter_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter_test.py
@@ -404,6 +404,27 @@
             served += number >= 20 and answer.missing <= 1
         assert served >= 36  # of 40
 
+    @in_virtual_time
+    def test_a_target_that_refuses_stays_avoided_while_it_gets_few_sends(self, clock):
+        """A VM with little load meets the refusals only once in several seconds."""
+        bench = set_up(clock, shards=40, replicas=3, lowest=0.95)
+        rng = random.Random(4)
+        for shard in range(40):
+            bench.transport.get(f"s{shard}.0").override = lambda: (
+                RefusedFailure("full", "shed", "") if rng.random() < 0.5 else None
+            )
+        for _ in range(40):
+            clock.advance(0.5)
+            bench.run()
+        arrivals = [len(bench.transport.get(f"s{n}.0").arrivals) for n in range(40)]
+        for _ in range(40):
+            clock.advance(0.5)
+            bench.run()
+        later = [len(bench.transport.get(f"s{n}.0").arrivals) for n in range(40)]
+        sent = sum(later) - sum(arrivals)
+        equal_share = 40 * 40 / 3  # of 40 searches over 40 shards
+        assert sent < equal_share / 2
+
     @in_virtual_time
     def test_a_target_that_refuses_is_not_probed(self, clock):
         bench = set_up(clock, shards=4, replicas=1)
