Give the transport's limit its former name back

ShareLimit had become the name of two classes, here and in targets/pool.py. A rename only; linter, format and the tests of the daemon, forwarding and platform pass.

--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -27,7 +27,7 @@
 PROBE_TIMEOUT_S = 0.3  # many round trips to any data centre of a region
 
 
-class ShareLimit(ConcurrencyLimit):
+class ConnectionShare(ConcurrencyLimit):
     """Limit of this VM's connections to a target: its share of the target's limit.
 
     Parameters
@@ -64,7 +64,7 @@
         self._clock = clock
         self._shares = shares
         self._pools: dict[str, ConnectionPool] = {}
-        self._limits: dict[str, ShareLimit] = {}
+        self._limits: dict[str, ConnectionShare] = {}
 
     def send(
         self,
@@ -148,7 +148,7 @@
             pool.close()
         limit = self._limits.get(target.service)
         if limit is None:
-            limit = ShareLimit(self._shares.limit(target.service))
+            limit = ConnectionShare(self._shares.limit(target.service))
             self._limits[target.service] = limit
         pool = ConnectionPool(target, limit, self._clock)
         self._pools[target.name] = pool
