--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,10 +19,10 @@
 PLAY_S = 80.0
 TROUBLE_S = 5.0  # length of one time of trouble
 REST_S = 2.0  # time without trouble after it
-THINK_S = 1.0  # pause of a client between an answer and its next request
-FAULTY_SHARE = 0.6  # of the backends: three of five
-EXTRA_SHARE = 0.03  # of the answers of a faulty backend are followed by more bytes
-FURTHER_ANSWER = b"HTTP/1.1 200 OK\r\n"
+THINK_S = 0.7  # pause of a client between an answer and its next request
+FAULTY_SHARE = 0.4  # of the backends: two of five
+EXTRA_SHARE = 0.02  # of the answers of a faulty backend are followed by more bytes
+FURTHER_ANSWER = b"HTTP/1.1 200"
 ROUTE = {
     "name": "r-desk",
     "host": HOST,
