Bound the memory that replies of targets hold

A target sends a chunked body without end in chunks of two bytes; the VMs that read it exceed their memory and are ended, and the requests in progress there, also at sound targets, end without an answer.

Cause: the reader bounded the bytes of a body, but kept one object for each chunk, 28 times the memory of the body. No bound held for all replies together. The same cause on related paths: trailers were kept as headers (8 bytes of them for each byte of the body), and idle connections kept the body of their last reply.

Both protocols share the reader.

--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -38,6 +38,7 @@
 from ..heap_freezer import HeapFreezer
 from ..peers import LinkManager, PeerServer
 from ..peers.call_forwarder import CallForwarder
+from ..targets.reply_memory import ReplyMemory
 from .boot_clock import BootClock
 from .caller_server import CallerServer
 from .entry_settings import EntrySettings
@@ -60,6 +61,7 @@
 ACCEPTING_SHARE = 0.5  # share of the stop grace for which connections are accepted
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
 TASK_RESTART_S = 0.5  # pause before a task that an error ended is started again
+REPLY_SHARE = 0.2  # of the memory, for replies that are being received
 STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are abandoned
 
 
@@ -136,7 +138,8 @@
             self.count_vms,
             self.members.count_in,
         )
-        self.transport = RoutedTransport(codec, self._clock, shares)
+        self.reply_memory = ReplyMemory(int(REPLY_SHARE * settings.memory_bytes))
+        self.transport = RoutedTransport(codec, self._clock, shares, self.reply_memory)
         self.registry = RoutedTargetRegistry(
             self._clock, settings.target_drain_s, self.transport.close_idle
         )
@@ -273,6 +276,9 @@
         add("peer_links", "Open links.", lambda: len(self.node.links))
         add("known_vms", "VMs that share bounds.", self.count_vms)
         add("requests_in_progress", "Now.", lambda: self.drain.in_progress)
+        memory = self.reply_memory
+        add("reply_bytes_held", "Of incomplete replies.", lambda: memory.held)
+        add("replies_over_memory", "Given up.", lambda: memory.exceeded_count)
         add("connections_opened", "To targets.", self.transport.count_opened)
         add("items_refused", "Items not decoded.", lambda: self.applier.refused_count)
         add("log_lines_dropped", "Lines not written.", lambda: self.log.dropped)
--- a/packages/cassiastaird/cassiastaird/entry/entry_settings.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_settings.py
@@ -31,6 +31,8 @@
         Seconds within which a new configuration must be in force.
     retry_ratio, retry_slack, retry_window_s : float
         Limits on the extra sends of all VMs, see `RetryBudgetLimits`.
+    memory_bytes : int
+        Memory above which the platform ends the process.
     """
 
     vm: str
@@ -47,3 +49,4 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    memory_bytes: int
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -1,5 +1,6 @@
 """Tests of request parsing, target replies, callers' connections and the event log."""
 
+import tracemalloc
 from unittest import mock
 
 import eventlet
@@ -17,6 +18,7 @@
 from eventlet.green import socket
 from testtools import TestCase
 
+from ..targets.reply_memory import ReplyMemory
 from .caller_connection import CallerConnection
 from .caller_server import CallerServer
 from .entry_daemon import EntryDaemon
@@ -159,6 +161,59 @@
             for _ in range(300):
                 reader.feed(b"x" * 100_000)
 
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="a body comes without end",
+    )
+    def test_an_endless_body_in_small_chunks_takes_no_more_than_its_bytes(self):
+        # An object for each chunk of two bytes took 28 times the memory of the body.
+        reader = FullReplyReader()
+        reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        chunks = b"2\r\nno\r\n" * 10_000
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(50):
+            reader.feed(chunks)
+        current, _ = tracemalloc.get_traced_memory()
+        assert current < 2 * 50 * 20_000
+
+    def test_endless_trailers_are_not_kept_as_headers(self):
+        reader = FullReplyReader()
+        reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        reader.feed(b"f4240\r\n" + b"x" * 1_000_000 + b"\r\n0\r\n")
+        for _ in range(100):
+            reader.feed(b"A: b\r\n" * 600)
+        reader.feed(b"\r\n")
+        assert reader.build_reply().headers == ((b"Transfer-Encoding", b"chunked"),)
+
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="a body comes without end",
+    )
+    def test_endless_bodies_on_many_connections_stay_within_the_memory(self):
+        memory = ReplyMemory(1_000_000)
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        sound = FullReplyReader(memory)
+        sound.feed(head + b"x" * 1000)
+        failed = 0
+        endless = [FullReplyReader(memory) for _ in range(20)]
+        for reader in endless:
+            reader.feed(head)
+        for _ in range(100):
+            for reader in list(endless):
+                try:
+                    reader.feed(b"x" * 20_000)
+                except OSError:
+                    failed += 1
+                    endless.remove(reader)
+                    reader.release_memory()
+                assert memory.held <= 2 * memory.limit
+        assert failed == memory.exceeded_count == 20
+        sound.feed(b"y" * 1000)
+        sound.feed(b"")
+        assert len(sound.build_reply().body) == 2000
+        assert memory.held == 0
+
     def test_a_body_in_small_chunks_is_complete(self):
         reader = FullReplyReader()
         reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -16,8 +16,8 @@
         self._head_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header of the first reply; those of a second one are ignored."""
-        if self._message_count == 1 and not self.done:
+        """Store a header of the first reply; trailers and other replies are ignored."""
+        if not self._head_done:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -49,4 +49,4 @@
 
     def build_reply(self) -> HttpReply:
         """Return the reply; it must be done."""
-        return HttpReply(self.status, tuple(self._headers), self.body)
+        return HttpReply(self.status, tuple(self._headers), self.take_body())
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -18,6 +18,7 @@
 
 from ..targets.connection import TargetConnection
 from ..targets.pool import ConnectionPool
+from ..targets.reply_memory import ReplyMemory
 from .full_reply_reader import FullReplyReader
 from .http_codec import HttpCodec
 
@@ -57,12 +58,21 @@
         Source of time.
     shares : ConnectionShares
         This VM's part of the connections that each target accepts.
+    memory : ReplyMemory
+        Account of the memory that replies hold while they are received.
     """
 
-    def __init__(self, codec: HttpCodec, clock: Clock, shares: ConnectionShares):
+    def __init__(
+        self,
+        codec: HttpCodec,
+        clock: Clock,
+        shares: ConnectionShares,
+        memory: ReplyMemory,
+    ):
         self._codec = codec
         self._clock = clock
         self._shares = shares
+        self._memory = memory
         self._pools: dict[str, ConnectionPool] = {}
         self._limits: dict[str, ConnectionShare] = {}
 
@@ -84,7 +94,7 @@
         payload = self._codec.encode_target_request(request, target, time_left)
         reader = connection.reader
         if reader is None:
-            reader = connection.reader = FullReplyReader()
+            reader = connection.reader = FullReplyReader(self._memory)
         else:
             reader.reset()
         try:
--- a/packages/cassiastaird/cassiastaird/targets/client.py
+++ b/packages/cassiastaird/cassiastaird/targets/client.py
@@ -25,7 +25,9 @@
 )
 from .connection import TargetConnection
 from .pool import ConnectionPool, ShareLimit
+from .reply_memory import ReplyMemory
 
+REPLY_MEMORY_BYTES = 64_000_000  # of all replies that are being received
 CONNECTION_ERROR = OSError  # base class of socket errors, timeouts and BadReplyError
 
 
@@ -49,6 +51,7 @@
         self._registry = registry
         self._clock = clock
         self._pools: dict[str, ConnectionPool] = {}
+        self._memory = ReplyMemory(REPLY_MEMORY_BYTES)
         self.silence_count = 0
 
     def list_pools(self) -> list[ConnectionPool]:
@@ -141,7 +144,7 @@
         connection = self._acquire_connection(pool)
         sent_at = self._clock.now()
         try:
-            status, data = connection.exchange(request)
+            status, data = connection.exchange(request, self._memory)
         except CONNECTION_ERROR as error:
             pool.discard(connection)
             raise BrokenFailure(f"the connection broke: {error!r}") from error
@@ -205,7 +208,7 @@
         answer = None
         try:
             with eventlet.Timeout(time_left, False):
-                answer = connection.exchange(request)
+                answer = connection.exchange(request, self._memory)
         except CONNECTION_ERROR as error:
             pool.discard(connection)
             raise BrokenFailure(f"the connection broke: {error!r}") from error
--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -7,6 +7,7 @@
 from eventlet.hubs.hub import READ
 from greenlet import getcurrent
 
+from .reply_memory import ReplyMemory
 from .reply_reader import ReplyReader
 
 CONNECT_TIMEOUT_S = 0.5
@@ -85,22 +86,24 @@
         self.reusable = True
         self.reader: ReplyReader | None = None
 
-    def exchange(self, request: bytes) -> tuple[int, bytes]:
+    def exchange(self, request: bytes, memory: ReplyMemory) -> tuple[int, bytes]:
         """Send a request and return the status and the body of the reply.
 
         Parameters
         ----------
         request : bytes
             Encoded request, headers and body.
+        memory : ReplyMemory
+            Account of the memory that replies hold.
 
         Raises
         ------
         OSError
             If the connection breaks or the reply is not HTTP.
         """
-        reader = ReplyReader()
+        reader = ReplyReader(memory)
         self.exchange_with(request, reader)
-        return reader.status, reader.body
+        return reader.status, reader.take_body()
 
     def exchange_with(self, request: bytes, reader: ReplyReader) -> None:
         """Send a request and pass received bytes to a reader until it has the reply.
@@ -111,8 +114,12 @@
             If the connection breaks or the reply is not HTTP.
         """
         self._send(request)
-        while not reader.done:
-            reader.feed(self._wait_and_receive())
+        try:
+            while not reader.done:
+                reader.feed(self._wait_and_receive())
+        except BaseException:  # also when the task is stopped
+            reader.release_memory()
+            raise
         self.reusable = reader.keep_alive
 
     def _send(self, request: bytes) -> None:
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -2,6 +2,8 @@
 
 import httptools
 
+from .reply_memory import ReplyMemory
+
 MAX_BODY_BYTES = 16_000_000
 MAX_HEAD_BYTES = 65_536  # status line, headers and trailers together
 MAX_FRAMING_PER_BODY_BYTE = 8  # chunks of a single byte have 5 bytes of framing
@@ -14,6 +16,12 @@
 class ReplyReader:
     """Passes received bytes to the parser until one reply is complete.
 
+    Parameters
+    ----------
+    memory : ReplyMemory, optional
+        Account of the bytes that all readers hold; without it, only the length of
+        this reply is bounded.
+
     Attributes
     ----------
     done : bool
@@ -26,21 +34,23 @@
         "done",
         "keep_alive",
         "_parser",
-        "_chunks",
+        "_memory",
+        "_body",
         "_body_size",
         "_received",
         "_message_count",
     )
 
-    def __init__(self):
+    def __init__(self, memory: ReplyMemory | None = None):
         self._parser = httptools.HttpResponseParser(self)
+        self._memory = memory
         self.reset()
 
     def reset(self) -> None:
         """Make the reader ready for the next reply on the same connection."""
         self.done = False
         self.keep_alive = True
-        self._chunks: list[bytes] = []
+        self._body: bytes | bytearray = b""
         self._body_size = 0
         self._received = 0
         self._message_count = 0
@@ -50,10 +60,17 @@
         """HTTP status code of the reply."""
         return self._parser.get_status_code()
 
-    @property
-    def body(self) -> bytes:
-        """Body of the reply, as far as it was received."""
-        return self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
+    def take_body(self) -> bytes:
+        """Return the body of the reply and release its memory."""
+        body, self._body = self._body, b""
+        self.release_memory()
+        return bytes(body)
+
+    def release_memory(self) -> None:
+        """Drop what was received, and its share in the account of all readers."""
+        self._body = b""
+        if self._memory is not None:
+            self._memory.release(self)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; empty bytes mean that the target closed the connection.
@@ -70,27 +87,39 @@
         except httptools.HttpParserError as error:
             raise BadReplyError(f"not an HTTP reply: {error}") from error
         self._received += len(data)
+        if self.done:
+            return
         framing = self._received - self._body_size
         if framing > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size:
             raise BadReplyError(f"more than {MAX_HEAD_BYTES} bytes are not of a body")
         if self._body_size > MAX_BODY_BYTES:
             raise BadReplyError(f"the reply is larger than {MAX_BODY_BYTES} bytes")
+        if self._memory is not None and not self._memory.hold(self, self._body_size):
+            raise BadReplyError(
+                f"replies hold more than {self._memory.limit} bytes together"
+            )
 
     def on_message_begin(self) -> None:
-        """Count a reply that starts.
-
-        The content of a second reply to one request is dropped, and the connection
-        is not reused.
-        """
+        """Count a reply that starts; after a second one the connection is closed."""
         self._message_count += 1
         if self._message_count > 1:
             self.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body of the first reply."""
-        if self._message_count == 1:
-            self._chunks.append(body)
-            self._body_size += len(body)
+        """Keep a part of the body of the first reply.
+
+        The parts are joined at once: an object for each chunk of a few bytes would
+        take many times the memory of the body.
+        """
+        if self._message_count != 1:
+            return
+        if not self._body_size:
+            self._body = body
+        elif isinstance(self._body, bytearray):
+            self._body += body
+        else:
+            self._body = bytearray(self._body) + body
+        self._body_size += len(body)
 
     def on_message_complete(self) -> None:
         """Record that the reply is complete and whether the target closes after it."""
