Keep the status of a reply when bytes follow it

A target's seal and body under another status, such as "HTTP/1.1 2 Status"; with a whole 421 behind the reply a non-idempotent request was taken for not run.

Cause: the status was read from the parser after it had gone on to the bytes behind the reply. Found on the way: bytes behind a complete reply that the parser refuses turned the reply into a failure, so a request that was served was answered 502.

Change: the reader keeps the status at the end of the first head; whatever follows a complete reply only ends the connection. Both protocols share the reader.

--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -109,6 +109,24 @@
         self.assertRaises(OSError, self.read, head, b"")
         self.assertRaises(OSError, self.read, b"HTTP/1.1 200 OK\r\n", b"")
 
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="bytes follow a complete reply",
+    )
+    def test_bytes_after_a_reply_change_nothing_of_it(self):
+        # The status was taken from the parser, which had gone on to a second reply.
+        reply = b"HTTP/1.1 500 No\r\nContent-Length: 1\r\n\r\na"
+        other = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nbc"
+        refusal = b"HTTP/1.1 421 Misdirected Request\r\nX: 1\r\n\r\n"
+        for more in (other, refusal, b"garbage\x00\r\n\r\n"):
+            for length in range(1, len(more) + 1):
+                reader = self.read(reply + more[:length])
+                assert reader.done
+                assert not reader.keep_alive
+                assert reader.build_reply() == HttpReply(
+                    500, ((b"Content-Length", b"1"),), b"a"
+                )
+
     def test_bytes_after_a_reply_end_the_connection(self):
         reply = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
         reader = self.read(reply + b"HTTP/1.1 200 OK\r\nB: c\r\n")
--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -22,6 +22,7 @@
 
     def on_headers_complete(self) -> None:
         """Record that all headers were received."""
+        super().on_headers_complete()
         self._head_done = True
 
     def feed(self, data: bytes) -> None:
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -16,6 +16,9 @@
 class ReplyReader:
     """Passes received bytes to the parser until one reply is complete.
 
+    Bytes behind a complete reply belong to no request: they change nothing of it, and
+    the connection is not reused.
+
     Parameters
     ----------
     memory : ReplyMemory, optional
@@ -28,11 +31,14 @@
         Whether the reply is complete.
     keep_alive : bool
         Whether the connection can be reused for another request.
+    status : int
+        HTTP status code of the reply; 0 until its head is complete.
     """
 
     __slots__ = (
         "done",
         "keep_alive",
+        "status",
         "_parser",
         "_memory",
         "_body",
@@ -50,16 +56,12 @@
         """Make the reader ready for the next reply on the same connection."""
         self.done = False
         self.keep_alive = True
+        self.status = 0
         self._body: bytes | bytearray = b""
         self._body_size = 0
         self._received = 0
         self._message_count = 0
 
-    @property
-    def status(self) -> int:
-        """HTTP status code of the reply."""
-        return self._parser.get_status_code()
-
     def take_body(self) -> bytes:
         """Return the body of the reply and release its memory."""
         body, self._body = self._body, b""
@@ -85,7 +87,9 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            raise BadReplyError(f"not an HTTP reply: {error}") from error
+            self.keep_alive = False
+            if not self.done:
+                raise BadReplyError(f"not an HTTP reply: {error}") from error
         self._received += len(data)
         if self.done:
             return
@@ -105,6 +109,14 @@
         if self._message_count > 1:
             self.keep_alive = False
 
+    def on_headers_complete(self) -> None:
+        """Keep the status of the first reply.
+
+        The parser's own status changes with the first bytes of a second one.
+        """
+        if self._message_count == 1:
+            self.status = self._parser.get_status_code()
+
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body of the first reply.
 
