Keep late copies of refusals apart from the next send

A request that is not idempotent ran twice, or ran and was answered 503, when a target repeated a refusal late.

Cause: replies are matched by the ID of the attempt. After a backoff the same attempt went to the same target on the connection of the refusal, where the late copy came first. A refusal without an ID was believed for any request.

Change: the pool does not use a connection for the attempt that it carried last, and closes an excluded one where the limit needs it; a connection whose reply names no attempt is closed. Looked for on the related paths: hedges and retries of searches use the same transport; the own protocol has an ID for each send.

--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -24,6 +24,8 @@
     rate_limit : float or None
         Requests a second that the target accepts from all VMs together; None if it
         names no limit, not a number if what it names is unreadable.
+    names_attempt : bool
+        Whether the reply named the attempt that it answers.
     """
 
     status: int
@@ -31,6 +33,7 @@
     body: bytes
     seal: str | None
     rate_limit: float | None = None
+    names_attempt: bool = True
 
     @property
     def succeeded(self) -> bool:
--- a/packages/cassiastair/cassiastair/targets/failures.py
+++ b/packages/cassiastair/cassiastair/targets/failures.py
@@ -17,10 +17,13 @@
         Reason that the answer states for the shard if no other target answers.
     proves_not_run : bool
         Whether the failure proves that the target did not run the request.
+    names_attempt : bool
+        Whether the reply, if there was one, named the attempt that it answers.
     """
 
     reason = MissingReason.UNREACHABLE
     proves_not_run = False
+    names_attempt = True
 
     def __init__(self, message: str):
         super().__init__(message)
@@ -61,6 +64,8 @@
     rate_limit : float or None, optional
         Requests a second that the target accepts from all VMs together; None if it
         names no limit, not a number if what it names is unreadable.
+    names_attempt : bool, optional
+        Whether the refusal named the attempt that it answers.
     """
 
     reason = MissingReason.OVERLOADED
@@ -72,8 +77,10 @@
         code: str,
         incarnation: str,
         rate_limit: float | None = None,
+        names_attempt: bool = True,
     ):
         super().__init__(message)
+        self.names_attempt = names_attempt
         self.code = code
         self.incarnation = incarnation
         self.rate_limit = rate_limit
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -85,7 +85,7 @@
     ) -> TargetReply:
         """Send a request on a pooled connection and return the reply."""
         pool = self._get_pool(target)
-        connection = self._acquire_connection(pool, at_most_once)
+        connection = self._acquire_connection(pool, at_most_once, request.attempt_id)
         sent_at = self._clock.now()
         time_left = deadline - sent_at
         if time_left < MIN_TIME_LEFT_S:
@@ -97,6 +97,7 @@
             reader = connection.reader = FullReplyReader(self._memory)
         else:
             reader.reset()
+        connection.last_attempt = request.attempt_id
         try:
             connection.exchange_with(payload, reader)
         except OSError as error:
@@ -115,7 +116,11 @@
         request: CallerRequest,
         reader: FullReplyReader,
     ) -> TargetReply:
-        """Decode a reply; release its connection, or close it after a bad reply."""
+        """Decode a reply; release its connection, or close it after a bad reply.
+
+        It is also closed after a reply that does not name its attempt: a late copy of
+        such a reply would be taken for the reply to another request.
+        """
         reply = reader.build_reply()
         idle_timeout = self._codec.parse_idle_timeout(reply)
         if idle_timeout is not None:
@@ -123,27 +128,29 @@
         try:
             decoded = self._codec.decode_reply(reply, request)
         except TargetFailure as failure:
-            if failure.proves_not_run:
+            if failure.proves_not_run and failure.names_attempt:
                 pool.release(connection)
             else:
                 pool.discard(connection)
             raise
-        if not self.keeps_connection(pool.target):
+        if not decoded.names_attempt or not self.keeps_connection(pool.target):
             connection.reusable = False
         pool.release(connection)
         return decoded
 
     def _acquire_connection(
-        self, pool: ConnectionPool, at_most_once: bool
+        self, pool: ConnectionPool, at_most_once: bool, attempt: str
     ) -> TargetConnection:
         """Take a connection from the pool, or open one.
 
+        One that carried the same attempt last is not taken, see `ConnectionPool`.
+
         At-most-once requests need a connection that is surely open, so those that
         were idle for too long are closed.
         """
         try:
             while True:
-                connection = pool.acquire(check_open=at_most_once)
+                connection = pool.acquire(at_most_once, attempt)
                 idle_s = self._clock.now() - connection.answered_at
                 if not at_most_once or idle_s < AT_MOST_ONCE_MAX_IDLE_S:
                     return connection
--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -51,11 +51,14 @@
         Whether the last reply allows another request on the connection.
     reader : ReplyReader or None
         Reader of the last reply, for those who use it again.
+    last_attempt : str
+        ID of the attempt that was sent last; empty if the sender sets none.
     """
 
     __slots__ = (
         "answered_at",
         "idle_timeout",
+        "last_attempt",
         "reader",
         "reusable",
         "_dropped",
@@ -85,6 +88,7 @@
         self.idle_timeout = float("inf")
         self.reusable = True
         self.reader: ReplyReader | None = None
+        self.last_attempt = ""
 
     def exchange(self, request: bytes, memory: ReplyMemory) -> tuple[int, bytes]:
         """Send a request and return the status and the body of the reply.
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -74,7 +74,7 @@
         """Whether a connection can be taken without waiting for another task."""
         return self._limiter.in_progress < self._limit.current
 
-    def acquire(self, check_open: bool = False) -> TargetConnection:
+    def acquire(self, check_open: bool = False, attempt: str = "") -> TargetConnection:
         """Return an idle or new connection, after waiting for a place within the limit.
 
         Parameters
@@ -83,6 +83,9 @@
             Check with a system call that an idle connection is still open. Without
             the check, a request may be sent on a connection that the target has
             just closed.
+        attempt : str
+            ID of an attempt. A connection that carried it last is not used, because a
+            late copy of its reply could not be told from the next reply.
 
         Raises
         ------
@@ -91,19 +94,27 @@
         """
         self._limiter.acquire()
         try:
-            while self._idle:
-                connection = self._idle.pop()
+            while (connection := self._pop_idle(attempt)) is not None:
                 if not self._is_expired(connection) and not connection.is_dropped(
                     check_open
                 ):
                     return connection
                 connection.close()
+            if self._idle and self.size > self._limit.current:
+                self._idle.pop(0).close()
             self.opened_count += 1
             return TargetConnection(self.target.host, self.target.port, self._clock)
         except BaseException:
             self._limiter.release()
             raise
 
+    def _pop_idle(self, attempt: str) -> TargetConnection | None:
+        """Take the idle connection used last, except those of an attempt."""
+        for index in range(len(self._idle) - 1, -1, -1):
+            if not attempt or self._idle[index].last_attempt != attempt:
+                return self._idle.pop(index)
+        return None
+
     def _is_expired(self, connection: TargetConnection) -> bool:
         """Return True if the target may already be closing an idle connection."""
         if connection.idle_timeout == float("inf"):
