Count the time of draining targets from the store's word

When the VMs of a data centre that read the store were killed, the VM beside them sent requests to leaving targets up to 4.1 s after the store's word, 3 s are allowed.

Cause: the time for which draining targets stay a fallback was counted from when the VM heard of the change. Without readers it hears one to two seconds late.

Change: the time counts from the last confirmation of the replica's state, which is before the change; after an outage of the store, from the outage's end, since records that lapsed in it return. On related paths: a peer that is ahead voids confirmations of the older state; a VM whose links are all silent reads the store after 1.5 s instead of 5 s; a request that waits for a connection is not sent to a target that was retired meanwhile.

The new tests state the order of events without processes.

--- a/packages/cassiastair/cassiastair/forwarding/target_registry.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry.py
@@ -6,9 +6,10 @@
 from .routed_target import RoutedTarget
 from .target_stats import RoutedTargetStats
 
-# Part of the drain limit for which a draining target stays the fallback of its service.
-# The rest covers the time in which the platform's changes reach this VM. Records that
-# expired because targets could not reach the platform return within about two seconds.
+# Part of the drain limit for which a draining target stays the fallback of its service,
+# from the earliest time at which the store may have taken the change. The rest covers
+# the way of a request to the target. Records that expired because targets could not
+# reach the platform return within about two seconds.
 FALLBACK_SHARE = 0.75
 
 
@@ -28,6 +29,9 @@
         Seconds after which a draining target must not get requests.
     on_removed : callable
         Called with the record of each target that gets no more requests.
+    find_change_age : callable
+        Returns how many seconds ago the platform may have taken a change that is
+        being applied.
     """
 
     def __init__(
@@ -35,10 +39,12 @@
         clock: Clock,
         drain_limit: float,
         on_removed: Callable[[RoutedTarget], None],
+        find_change_age: Callable[[], float],
     ):
         self._clock = clock
         self._fallback_time = drain_limit * FALLBACK_SHARE
         self._on_removed = on_removed
+        self._find_change_age = find_change_age
         self._live: dict[str, RoutedTargetStats] = {}
         self._by_service: dict[str, list[RoutedTargetStats]] = {}
         self._draining: dict[str, dict[str, tuple[RoutedTargetStats, float]]] = {}
@@ -82,7 +88,7 @@
             return
         known.target = target
         self._remove_live(known)
-        self._add_draining(known, self._clock.now() + self._fallback_time)
+        self._add_draining(known)
 
     def remove(self, name: str) -> None:
         """Handle the removal of a target's record: a live target becomes draining."""
@@ -90,7 +96,7 @@
         if known is None:
             return
         self._remove_live(known)
-        self._add_draining(known, self._clock.now() + self._fallback_time)
+        self._add_draining(known)
 
     def _remove_live(self, stats: RoutedTargetStats) -> None:
         """Remove a target from the live targets."""
@@ -101,8 +107,9 @@
         if not siblings:
             del self._by_service[target.service]
 
-    def _add_draining(self, stats: RoutedTargetStats, until: float) -> None:
-        """Keep a draining target as a fallback until the given time, in seconds."""
+    def _add_draining(self, stats: RoutedTargetStats) -> None:
+        """Keep a target that drains from now on as a fallback for a time."""
+        until = self._clock.now() - self._find_change_age() + self._fallback_time
         service = self._draining.setdefault(stats.target.service, {})
         service[stats.target.name] = (stats, until)
 
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -28,7 +28,10 @@
         super().setUp()
         self.clock = ManualClock()
         self.removed = []
-        self.registry = RoutedTargetRegistry(self.clock, DRAIN_S, self.removed.append)
+        self.change_age = 0.0
+        self.registry = RoutedTargetRegistry(
+            self.clock, DRAIN_S, self.removed.append, lambda: self.change_age
+        )
 
     def names(self, service: str = "s") -> list[str]:
         """Return the names of the targets that may get a request."""
@@ -55,6 +58,24 @@
         self.registry.remove_expired()
         assert [target.name for target in self.removed] == ["a"]
 
+    @pytest.mark.proof(
+        promise="leaving targets",
+        failure="routes: the VM hears late that a target leaves",
+    )
+    def test_fallback_to_a_target_whose_drain_was_heard_late_ends_in_time(self):
+        # The time was counted from when the VM heard, not from the platform's word.
+        for name in ("a", "b"):
+            self.registry.update(make_target(name, "s"))
+        self.change_age = 1.9
+        self.registry.update(make_target("a", "s", draining=True))
+        self.registry.remove("b")
+        self.clock.advance(DRAIN_S - self.change_age - 0.7)
+        assert self.names() == []
+        self.registry.update(make_target("c", "t"))
+        self.change_age = float("inf")
+        self.registry.remove("c")
+        assert self.names("t") == []
+
     def test_a_record_that_returns_keeps_its_statistics(self):
         self.registry.update(make_target("a", "s"))
         self.registry.find("a").latency_ratio = 5.0
@@ -146,7 +167,9 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock()
-        self.registry = RoutedTargetRegistry(self.clock, DRAIN_S, lambda target: None)
+        self.registry = RoutedTargetRegistry(
+            self.clock, DRAIN_S, lambda target: None, lambda: 0.0
+        )
         self.reachable = False
         self.probes = 0
         self.prober = TargetProber(
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -93,5 +93,8 @@
         """Open a connection to a target; return whether that succeeded."""
 
     @abstractmethod
-    def close_idle(self, target: RoutedTarget) -> None:
-        """Close the idle connections to a target that gets no more requests."""
+    def retire(self, target: RoutedTarget) -> None:
+        """Close the idle connections to a target that gets no more requests.
+
+        Requests that wait for a connection to it fail.
+        """
--- a/packages/cassiastair/cassiastair/membership/__init__.py
+++ b/packages/cassiastair/cassiastair/membership/__init__.py
@@ -7,6 +7,7 @@
 from .reader_schedule import ReaderSchedule
 from .reader_selection import ReaderSelection
 from .rendezvous import rank_by_rendezvous
+from .store_contact import StoreContact
 
 __all__ = [
     "DrainingTargets",
@@ -14,6 +15,7 @@
     "MemberList",
     "ReaderSchedule",
     "ReaderSelection",
+    "StoreContact",
     "choose_links",
     "rank_by_rendezvous",
 ]
--- a/packages/cassiastair/cassiastair/membership/reader_selection.py
+++ b/packages/cassiastair/cassiastair/membership/reader_selection.py
@@ -15,6 +15,7 @@
 READER_TIMEOUT_S = 5.0  # a reader without a report for so long does not count
 TAKEOVER_STEP_S = 0.4  # delay between VMs that take over
 MAX_TAKEOVER_DELAY_S = 6.0  # delay after which any VM takes over
+ISOLATION_S = 1.5  # without a heartbeat on any link for so long, a VM reads itself
 
 
 class ReaderSelection:
@@ -50,8 +51,18 @@
         self._clock = clock
         self._seen_at: dict[str, float] = {}
         self._missing_since: float | None = None
+        self._peer_heard_at: float | None = None
         self.reading = False
 
+    def record_peer(self) -> None:
+        """Record that a peer sent a heartbeat."""
+        self._peer_heard_at = self._clock.now()
+
+    def _is_isolated(self, now: float) -> bool:
+        """Return True if all peers that sent heartbeats have stopped to do so."""
+        heard_at = self._peer_heard_at
+        return heard_at is not None and now - heard_at > ISOLATION_S
+
     def record_reader(self, name: str, age: float) -> None:
         """Record that a VM was reading `age` seconds ago."""
         at = self._clock.now() - max(age, 0.0)
@@ -99,11 +110,16 @@
         """Decide whether this VM reads now; return True if it does."""
         now = self._clock.now()
         active = self._find_active(now)
+        if self.reading and self._is_isolated(now):
+            return True
         if self.reading:
             order = self._rank([*active, self._own])
             self.reading = order.index(self._own) < WANTED_READERS
             self._missing_since = None
             return self.reading
+        if self._is_isolated(now):
+            self.reading = True
+            return True
         if len(active) >= WANTED_READERS:
             self._missing_since = None
             return False
--- a/packages/cassiastair/cassiastair/replication/node.py
+++ b/packages/cassiastair/cassiastair/replication/node.py
@@ -12,7 +12,7 @@
 from ..data import Vm
 from ..errors import PeerProtocolError
 from ..forwarding import OutlierDetector, TargetLimits
-from ..membership import Freshness, MemberList, ReaderSelection
+from ..membership import Freshness, MemberList, ReaderSelection, StoreContact
 from ..peers.link import PeerLink
 from ..peers.mesh_node import MeshNode
 from ..peers.messages import (
@@ -56,6 +56,8 @@
         Targets that VMs of the data centre have seen slow or failing.
     limits : TargetLimits
         Request rates that targets have named.
+    store_contact : StoreContact
+        Outages of the store.
     """
 
     def __init__(
@@ -68,8 +70,11 @@
         is_store_available: Callable[[], bool],
         outliers: OutlierDetector,
         limits: TargetLimits,
+        store_contact: StoreContact,
     ):
         super().__init__(own, members)
+        self._store_contact = store_contact
+        self._newest_revision = -1  # that a peer has named
         self.replica = replica
         self.freshness = freshness
         self._selection = selection
@@ -152,15 +157,27 @@
         return NewsBeat(self.replica.revision, self._compute_age(), readers)
 
     def _compute_age(self) -> float:
+        """Return the age of the replica's state for a message, in seconds."""
+        age = self._find_age()
+        return UNKNOWN_AGE if age == float("inf") else round(age, 3)
+
+    def _find_age(self) -> float:
         """Return the seconds since the store confirmed the replica's state.
 
         The age is zero while this VM watches the store: the watch would have returned
-        any change.
+        any change. It is infinite before the first confirmation.
         """
         if self._selection.reading and self._is_store_available():
             return 0.0
-        age = self.freshness.age
-        return UNKNOWN_AGE if age == float("inf") else round(age, 3)
+        return self.freshness.age
+
+    def find_change_age(self) -> float:
+        """Return how many seconds ago the store may have taken a change that arrives.
+
+        The change is newer than the last confirmation of the replica's state. Changes
+        that were taken before or in an outage count from its end.
+        """
+        return min(self._find_age(), self._store_contact.time_since_outage)
 
     def _make_changes(self, after: int, items: list[StoreItem]) -> NewsChanges:
         """Return a message with the changes up to the replica's revision."""
@@ -175,11 +192,15 @@
     def _handle_heartbeat(self, link: PeerLink, heartbeat: NewsBeat) -> None:
         """Request changes if the peer is ahead; at equal revisions record its age."""
         self.members.record_contact(link.vm)
+        self._selection.record_peer()
+        if heartbeat.age >= 0:
+            self._store_contact.record(heartbeat.age)
         if self._is_local(link):
             self._record_readers(heartbeat.readers)
+        self._newest_revision = max(self._newest_revision, heartbeat.revision)
         if heartbeat.revision <= self.replica.revision:
             link.mismatches = 0
-            if heartbeat.revision == self.replica.revision and heartbeat.age >= 0:
+            if heartbeat.revision == self._newest_revision and heartbeat.age >= 0:
                 self.freshness.record(heartbeat.age)
             return
         link.mismatches += 1
@@ -223,6 +244,8 @@
         self.members.record_contact(link.vm)
         items = [parse_item(raw) for raw in message.items]
         before = self.replica.revision
+        if message.age >= 0:
+            self._store_contact.record(message.age)
         if message.revision <= before:
             return
         if message.after > before:
--- a/packages/cassiastair/cassiastair/replication/reader.py
+++ b/packages/cassiastair/cassiastair/replication/reader.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from ..membership import Freshness, ReaderSelection
+from ..membership import Freshness, ReaderSelection, StoreContact
 from .client import HistoryGone, StoreClient, StoreReadError
 from .replica import StoreReplica
 
@@ -35,6 +35,8 @@
         Decides whether this VM reads.
     freshness : Freshness
         Age of the store's last confirmation; each successful call resets it.
+    contact : StoreContact
+        Outages of the store.
     publish : callable
         Called after each read that changed the replica, with the replica's previous
         revision and the changes.
@@ -61,6 +63,7 @@
         replica: StoreReplica,
         selection: ReaderSelection,
         freshness: Freshness,
+        contact: StoreContact,
         publish: Callable[[int, list], None],
         max_delay: float,
         log_event: Callable[..., None],
@@ -71,6 +74,7 @@
         self._replica = replica
         self._selection = selection
         self._freshness = freshness
+        self._contact = contact
         self._publish = publish
         self._watch_wait = WATCH_WAIT_RATIO * max_delay
         self._batch_pause = BATCH_PAUSE_RATIO * max_delay
@@ -122,11 +126,13 @@
     def _watch(self) -> list:
         """Wait for changes and merge them; return the changed items."""
         page = self._client.watch(self._replica.revision, self._watch_wait)
+        self._contact.record(0.0)
         return self._replica.merge(page.items, page.revision)
 
     def _read_all(self) -> list:
         """Read and merge all items; return the changed ones."""
         page = self._client.read_all()
+        self._contact.record(0.0)
         return self._replica.replace(page.items, page.revision)
 
     def _reload(self) -> bool:
@@ -159,5 +165,6 @@
             )
         self.failing = True
         self.store_available = False
+        self._contact.record_failure()
         self._sleep(self._backoff * (0.5 + self._rng.random()))
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
--- a/packages/cassiastair/cassiastair/replication/replication_test.py
+++ b/packages/cassiastair/cassiastair/replication/replication_test.py
@@ -12,7 +12,13 @@
 from ..data import Vm
 from ..errors import PeerProtocolError
 from ..forwarding import OutlierDetector, TargetLimits
-from ..membership import Freshness, MemberList, ReaderSelection
+from ..membership import (
+    Freshness,
+    MemberList,
+    ReaderSelection,
+    StoreContact,
+    rank_by_rendezvous,
+)
 from ..peers.link import PeerLink
 from ..peers.messages import NewsBeat, NewsChanges
 from ..testing.forwarding_bench import make_target
@@ -137,6 +143,7 @@
             self.replica,
             ReaderSelection("a", "dc", list, self.clock),
             self.freshness,
+            StoreContact(self.clock),
             lambda after, items: self.published.append((after, items)),
             3.0,
             lambda event, **inputs: self.events.append(event),
@@ -239,7 +246,15 @@
         limits = TargetLimits(self.clock, vm.name, lambda: [vm.name], lambda: 7)
         self.limits[number] = limits
         return ReplicationNode(
-            vm, members, replica, freshness, selection, lambda: True, outliers, limits
+            vm,
+            members,
+            replica,
+            freshness,
+            selection,
+            lambda: True,
+            outliers,
+            limits,
+            StoreContact(self.clock),
         )
 
     def connect(self, one: int, other: int) -> None:
@@ -366,6 +381,57 @@
         other.handle(link, NewsBeat(other.replica.revision - 1, 0.0, []))
         assert other.freshness.age == float("inf")
 
+    @pytest.mark.proof(
+        promise="leaving targets",
+        failure="store: the readers of a data centre end, the word comes late",
+    )
+    def test_a_change_that_comes_late_is_known_to_be_old(self):
+        # A VM counted the time to drain from its own hearing, up to 2 s too late.
+        fleet = Fleet(2, ManualClock())
+        fleet.deliver()
+        fleet.read_store(0)
+        fleet.deliver()
+        other = fleet.nodes[1]
+        other.freshness.record(0.0)
+        ages = []
+        other.replica._on_change = lambda items: ages.append(other.find_change_age())
+        fleet.clock.advance(0.3)
+        fleet.store.write("a", b"1")
+        fleet.read_store(0)
+        fleet.deliver(lose=lambda: True)
+        fleet.clock.advance(1.9)
+        for _ in range(2):
+            fleet.nodes[0].send_heartbeats()
+            fleet.deliver()
+        assert [round(age, 3) for age in ages] == [2.2]
+
+    def test_a_state_that_a_peer_has_outdated_is_not_confirmed(self):
+        fleet = Fleet(3, ManualClock())
+        fleet.deliver()
+        one, other, _ = fleet.nodes
+        links = [end for end in fleet.links if end.node is other]
+        other.freshness.record(0.0)
+        fleet.clock.advance(1.0)
+        revision = other.replica.revision
+        other.handle(links[0], NewsBeat(revision + 5, 0.0, []))
+        other.handle(links[1], NewsBeat(revision, 0.0, []))
+        assert other.freshness.age == 1.0
+
+    def test_changes_after_an_outage_of_the_store_count_from_its_end(self):
+        fleet = Fleet(2, ManualClock())
+        fleet.deliver()
+        fleet.read_store(0)
+        fleet.deliver()
+        node = fleet.nodes[1]
+        link = next(end for end in fleet.links if end.node is node)
+        node.freshness.record(0.0)
+        fleet.clock.advance(8.0)
+        node.handle(link, NewsBeat(node.replica.revision, 8.0, []))
+        assert node.find_change_age() == 8.0
+        node.handle(link, NewsBeat(node.replica.revision + 1, 0.0, []))
+        fleet.clock.advance(0.1)
+        assert round(node.find_change_age(), 3) == 0.1
+
     def test_malformed_item_is_a_protocol_error(self):
         fleet = Fleet(2, ManualClock())
         fleet.deliver()
@@ -476,6 +542,22 @@
         new = [n for n in self.names if self.selections[n].reading and n not in old]
         assert 3 <= len(new) <= 8
 
+    @pytest.mark.proof(
+        promise="cut off",
+        failure="store: all peers of a VM end at once",
+    )
+    def test_a_vm_reads_soon_after_its_last_heartbeat(self):
+        # It waited for five seconds, until its last readers had expired.
+        self.simulate(20)
+        last = rank_by_rendezvous("reader dc", self.names)[-1]
+        selection = self.selections[last]
+        selection.record_peer()
+        assert not selection.should_read()
+        self.clock.advance(1.6)
+        assert selection.should_read()
+        selection.record_peer()
+        assert not selection.should_read()
+
     def test_isolated_vm_reads(self):
         self.simulate(20)
         isolated = next(n for n in self.names if not self.selections[n].reading)
--- a/packages/cassiastair/cassiastair/testing/fake_transport.py
+++ b/packages/cassiastair/cassiastair/testing/fake_transport.py
@@ -107,7 +107,7 @@
         """Return True if the target is reachable."""
         return self.get(target.name).reachable
 
-    def close_idle(self, target: RoutedTarget) -> None:
+    def retire(self, target: RoutedTarget) -> None:
         """Record that the idle connections to a target were closed."""
         self.closed_idle.append(target.name)
 
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -77,7 +77,9 @@
         self.clock = clock
         rng = random.Random(seed)
         self.transport = transport or FakeTransport(clock)
-        self.registry = RoutedTargetRegistry(clock, DRAIN_S, self.transport.close_idle)
+        self.registry = RoutedTargetRegistry(
+            clock, DRAIN_S, self.transport.retire, lambda: 0.0
+        )
         self.table = RoutingTable(rng)
         self.decisions = ListDecisionLog()
         self.outliers = OutlierDetector(clock)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -24,7 +24,12 @@
 from cassiastair.forwarding.retry_budget import RetryBudgetLimits
 from cassiastair.forwarding.route_latencies import RouteLatencies
 from cassiastair.forwarding.target_chooser import RoutedTargetChooser
-from cassiastair.membership import Freshness, MemberList, ReaderSelection
+from cassiastair.membership import (
+    Freshness,
+    MemberList,
+    ReaderSelection,
+    StoreContact,
+)
 from cassiastair.pauses import PauseDetector
 from cassiastair.replication import (
     ReplicationNode,
@@ -141,7 +146,10 @@
         self.reply_memory = ReplyMemory(int(REPLY_SHARE * settings.memory_bytes))
         self.transport = RoutedTransport(codec, self._clock, shares, self.reply_memory)
         self.registry = RoutedTargetRegistry(
-            self._clock, settings.target_drain_s, self.transport.close_idle
+            self._clock,
+            settings.target_drain_s,
+            self.transport.retire,
+            lambda: self.node.find_change_age(),
         )
         self.outliers = replace_part(OutlierDetector)(self._clock)
         self.limits = TargetLimits(
@@ -194,6 +202,7 @@
         self.applier = StoreChangeApplier(decoder, self.table, self.registry, self.log)
         self.replica = StoreReplica(self.applier.apply)
         self.freshness = Freshness(self._clock)
+        store_contact = StoreContact(self._clock)
         self.reader_selection = ReaderSelection(
             self.own.name, self.own.data_centre, self.members.local_names, self._clock
         )
@@ -206,6 +215,7 @@
             lambda: self.reader.store_available,
             self.outliers,
             self.limits,
+            store_contact,
         )
         self.node.log_event = lambda event, **fields: self.log.warn(event, "", **fields)
         self.forwarder = CallForwarder(refuse_call)
@@ -225,6 +235,7 @@
             self.replica,
             self.reader_selection,
             self.freshness,
+            store_contact,
             self.node.publish,
             propagation_limit_s,
             lambda event, **fields: self.log.warn(event, "", **fields),
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -166,7 +166,7 @@
         if pool is not None and target.is_same_incarnation(pool.target):
             return pool
         if pool is not None:
-            pool.close()
+            pool.retire()
         limit = self._limits.get(target.service)
         if limit is None:
             limit = ConnectionShare(self._shares.limit(target.service))
@@ -222,9 +222,9 @@
             pool.add_idle(connection)
         return True
 
-    def close_idle(self, target: RoutedTarget) -> None:
-        """Remove the pool of a target that is gone and close its idle connections."""
+    def retire(self, target: RoutedTarget) -> None:
+        """Remove the pool of a target that gets no more requests."""
         pool = self._pools.get(target.name)
         if pool is not None and target.is_same_incarnation(pool.target):
             del self._pools[target.name]
-            pool.close()
+            pool.retire()
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -63,6 +63,7 @@
         self._limit = limit
         self._limiter = ConcurrencyLimiter(self._limit)
         self._idle: list[TargetConnection] = []
+        self._is_retired = False
 
     @property
     def size(self) -> int:
@@ -90,10 +91,12 @@
         Raises
         ------
         OSError
-            If no connection can be opened.
+            If no connection can be opened, or the pool was retired meanwhile.
         """
         self._limiter.acquire()
         try:
+            if self._is_retired:
+                raise ConnectionAbortedError("the target gets no more requests")
             while (connection := self._pop_idle(attempt)) is not None:
                 if not self._is_expired(connection) and not connection.is_dropped(
                     check_open
@@ -167,6 +170,11 @@
             connection = self.acquire()
             self.release(connection)
 
+    def retire(self) -> None:
+        """Close the pool for good; tasks that wait for a connection get none."""
+        self._is_retired = True
+        self.close()
+
     def close(self) -> None:
         """Close the idle connections; those in use stay open."""
         for connection in self._idle:
