Refuse odd entries of the store one by one

A value nested 1,000 levels deep passed the JSON parser; printing it in the refusal raised RecursionError, which ended the reading task after the replica had counted the changes as applied, so all changes of that read were lost.

--- a/packages/cassiastaird/cassiastaird/entry/store_change_applier.py
+++ b/packages/cassiastaird/cassiastaird/entry/store_change_applier.py
@@ -43,12 +43,21 @@
     def apply(self, items: list[StoreItem]) -> None:
         """Apply items in the order of their revisions, without a task switch."""
         for item in sorted(items, key=lambda item: item.revision):
-            if self._decoder.is_configuration(item.key):
-                self._apply_configuration(item)
-                continue
-            name = self._decoder.parse_target_name(item.key)
-            if name is not None:
-                self._apply_target(name, item)
+            try:
+                self._apply_item(item)
+            except Exception as error:  # the replica would not bring the others again
+                self._decisions.warn(
+                    "internal failure", "", reason=repr(error), trace=True
+                )
+
+    def _apply_item(self, item: StoreItem) -> None:
+        """Apply one item, if its key is that of a configuration or a target."""
+        if self._decoder.is_configuration(item.key):
+            self._apply_configuration(item)
+            return
+        name = self._decoder.parse_target_name(item.key)
+        if name is not None:
+            self._apply_target(name, item)
 
     def _apply_configuration(self, item: StoreItem) -> None:
         """Put a configuration in force; ignore the removal of one."""
