Answer requests that outlast a planned stop

It could happen here: a request with ten seconds to its deadline was passed on up to 3.5 s after SIGTERM of 6 s, and all that was in progress 0.4 s before the end was cut.

Change: in the second half of the grace a request whose deadline lies behind the end is refused at once as not run, with Retry-After 0; what lasts until the end is answered with what is known of it.

--- a/packages/cassiastair/cassiastair/errors.py
+++ b/packages/cassiastair/cassiastair/errors.py
@@ -87,6 +87,7 @@
     code = "stopping"
     status = 503
     remedy = "retry through another entry VM"
+    retry_after = 0.0  # the other VMs can serve it now
 
 
 class NotFreshError(RefusedError):
--- a/packages/cassiastair/cassiastair/forwarding/forwarder.py
+++ b/packages/cassiastair/cassiastair/forwarding/forwarder.py
@@ -1,8 +1,9 @@
 """Entry point of the package: finds the route of a request and serves it."""
 
-from ..errors import NoRouteError, NotConfiguredError
+from ..errors import NoRouteError, NotConfiguredError, StoppingError
 from ..routing import Route
 from .answer import CallerAnswer
+from .answer_deadlines import find_deadline
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
 from .scatter import Scatter
@@ -20,6 +21,23 @@
 
     def __init__(self, deps: ForwardingDependencies):
         self._deps = deps
+        self._running: set[Scatter | SingleForward] = set()
+        self._stop_at = float("inf")
+
+    def begin_stop(self, stop_at: float) -> None:
+        """Refuse requests that may last longer than this VM runs.
+
+        Parameters
+        ----------
+        stop_at : float
+            Time at which the requests in progress are abandoned, in seconds.
+        """
+        self._stop_at = stop_at
+
+    def finish_all(self) -> None:
+        """End all requests in progress, each with the answer that it can give now."""
+        for running in list(self._running):
+            running.finish()
 
     def find_route(self, request: CallerRequest) -> Route:
         """Return the route of a request.
@@ -48,6 +66,13 @@
             If the request cannot be answered. Its `outcome` says whether the
             request has run.
         """
-        if route.shards:
-            return Scatter(self._deps, route, request).run()
-        return SingleForward(self._deps, route, request).run()
+        deadline = find_deadline(route, request.received_at, request.caller_timeout)
+        if deadline > self._stop_at:
+            raise StoppingError("this VM stops before the request's deadline")
+        make = Scatter if route.shards else SingleForward
+        running = make(self._deps, route, request)
+        self._running.add(running)
+        try:
+            return running.run()
+        finally:
+            self._running.discard(running)
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -116,6 +116,7 @@
         self._results = ResultQueue()
         self._timers = Timers()
         self._shard_of: dict[Send, ShardState] = {}
+        self._stopped = False
 
     def run(self) -> MergedAnswer:
         """Run the search and return its answer.
@@ -141,6 +142,11 @@
             self._results.close()
             stop_later([send for send in self._shard_of if not send.ended])
 
+    def finish(self) -> None:
+        """End the search with the parts that are in; called by another task."""
+        self._stopped = True
+        self._results.wake()
+
     def _record_timing(self) -> None:
         """Record whether the lowest coverage was reached within the objective."""
         now = self._deps.clock.now()
@@ -171,7 +177,7 @@
 
     def _is_finished(self) -> bool:
         """Return True if the search should stop waiting now."""
-        if self._answered_count + self._open_count < self._needed:
+        if self._stopped or self._answered_count + self._open_count < self._needed:
             return True
         now = self._deps.clock.now()
         return self._deadlines.should_answer(now, self._answered_count >= self._needed)
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -85,6 +85,11 @@
             self._results.close()
             stop_later([send for send in self._sends if not send.ended])
 
+    def finish(self) -> None:
+        """End the request with what is known now; called by another task."""
+        self._finished = True
+        self._results.wake()
+
     def _process_next(self) -> None:
         """Wait for the next outcome or timer and handle it."""
         now = self._deps.clock.now()
--- a/packages/cassiastair/cassiastair/search/result_queue.py
+++ b/packages/cassiastair/cassiastair/search/result_queue.py
@@ -55,6 +55,10 @@
             self._timer.cancel()
             self._timer = None
 
+    def wake(self) -> None:
+        """End the consumer's wait, as at a timeout."""
+        self._wake_waiter()
+
     def _wake_waiter(self) -> None:
         """Schedule the consumer once, if it waits."""
         if self._waiter is not None:
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -67,7 +67,8 @@
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
 TASK_RESTART_S = 0.5  # pause before a task that an error ended is started again
 REPLY_SHARE = 0.2  # of the memory, for replies that are being received
-STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are abandoned
+STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are ended
+FINAL_ANSWERS_S = 0.1  # time to write the answers of requests that are ended
 
 
 class EntryDaemon:
@@ -185,8 +186,9 @@
             self._clock,
         )
         self.readiness = RouteReadiness(self.table, self.registry)
+        self.request_forwarder = Forwarder(dependencies)
         self.server = CallerServer(
-            Forwarder(dependencies),
+            self.request_forwarder,
             self.table,
             codec,
             self.drain,
@@ -404,19 +406,25 @@
         self.log.warn("settings read", "", peers=len(settings.seed_peers))
 
     def stop(self) -> bool:
-        """Stop gracefully; return True if every request in progress finished."""
+        """Stop gracefully; return True if every request in progress finished.
+
+        Requests that last until the end of the grace are answered then with what is
+        known of them, instead of being cut.
+        """
         self.log.warn("stopping", "", in_progress=self.drain.in_progress)
         grace_s = self.settings.stop_grace_s
-        started = self._clock.now()
+        stop_at = self._clock.now() + grace_s - STOP_MARGIN_S
         self.drain.draining = True
         eventlet.sleep(grace_s * ACCEPTING_SHARE)
+        self.request_forwarder.begin_stop(stop_at)
         self.server.stop_listening()
-        while self.server.open_count:
-            if self._clock.now() - started > grace_s - STOP_MARGIN_S:
-                break
+        while self.server.open_count and self._clock.now() < stop_at:
             self.server.close_idle_connections()
             eventlet.sleep(0.02)
         all_finished = not self.drain.in_progress
+        if not all_finished:
+            self.request_forwarder.finish_all()
+            eventlet.sleep(FINAL_ANSWERS_S)
         self.node.send_bye()
         eventlet.sleep(BYE_FLUSH_S)
         self.log.warn("stopped", "", in_progress=self.drain.in_progress)
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -172,6 +172,29 @@
             eventlet.sleep(0.02)
         assert self.cluster.wait_exit("vm0", 10.0) == 0
 
+    @pytest.mark.proof(
+        promise="planned stop",
+        failure="platform: a request outlasts the grace, over processes",
+    )
+    def test_request_that_outlasts_the_grace_gets_an_answer(self):
+        # Its connection was cut at the end of the grace.
+        routes = [make_search_route(SHARDS), make_desk_route(timeoutMs=30_000)]
+        self.cluster.configure(routes, [*SHARDS, "desk"])
+        self.cluster.start_all()
+        back_ends = self.cluster.back_ends.values()
+        for back_end in back_ends:
+            back_end.spec.faults.work_factor = 1e5
+        address = self.cluster.vms["vm0"].caller_address
+        waiting = eventlet.spawn(
+            self.caller.call, address, "/desk/note", 30.0, "POST", b"water the pine"
+        )
+        self.wait_until(lambda: any(back_end.requests for back_end in back_ends))
+        self.cluster.send_signal("vm0", signal.SIGTERM)
+        outcome = waiting.wait()
+        assert outcome.status == 502
+        assert self.count_executions(outcome.attempt_id) == 1
+        assert self.cluster.wait_exit("vm0", 10.0) is not None
+
     @pytest.mark.proof(
         promise="cut off",
         failure="platform: the store turns a VM away, over processes",
