Close idle connections to targets when bytes arrive

The remaining place: bytes on an idle connection stayed in the socket's buffer, which counts as memory of the process, until the connection was needed again.

Change: such a connection is closed as soon as bytes arrive.

Evidence: the new test timed out before and passes now.

--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -151,12 +151,16 @@
                 continue  # spurious wake-up, nothing to read
 
     def _on_readable(self, fileno: int) -> None:
-        """Wake the waiting task; drop the connection if no task waits for bytes."""
+        """Wake the waiting task; close the connection if no task waits for bytes.
+
+        Bytes that nobody requested may come without end, and those that are not read
+        count as memory of the process.
+        """
         if self._waiter is not None:
             self._waiter.switch()
         else:
             self._dropped = True
-            self._stop_listening()
+            self.close()
 
     def _on_closed(self, *error: object) -> None:
         """Drop the connection after other code of this process closed the socket."""
--- a/packages/cassiastaird/cassiastaird/targets/pool_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool_test.py
@@ -23,7 +23,30 @@
 
 
 class TestConnectionPool(TestCase):
-    """Pools whose target gets no more requests."""
+    """Idle connections with unrequested bytes, and retired targets."""
+
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="bytes without end come on an idle connection",
+    )
+    def test_an_idle_connection_is_closed_when_bytes_arrive(self):
+        # The bytes stayed in the socket's buffer until the connection was needed.
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        port = listener.getsockname()[1]
+        target = RoutedTarget("t", "s", "127.0.0.1", port, "z", 2, False, 0.0, 0)
+        pool = ConnectionPool(target, OneConnection(), ManualClock())
+        pool.release(pool.acquire())
+        sock, _ = listener.accept()
+        sock.settimeout(5.0)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n")
+        try:
+            received = sock.recv(1)
+        except ConnectionResetError:
+            received = b""
+        assert received == b""
+        assert pool.acquire().is_dropped(False) is False
+        assert pool.opened_count == 2
 
     @pytest.mark.proof(
         promise="leaving targets",
