Heed targets that leave and targets that name a time

A target says in all its answers that it leaves, and may add to a 503 the seconds for which it wants nothing from this VM. The code read neither header.

Change: the adapter decodes both into a TargetNotice of the reply or failure, beside the named request rate. A target that says it leaves becomes draining in the registry, also against an older "ready" of the store, until another process registers; the end that comes first holds. Until the end of a named time a target is no candidate for any send, and requests that wait for one of its connections fail as not sent; a record that lapses and returns is still paused. Where all targets of a service name a time, a request is refused at once with the earliest end as Retry-After; what is known during a request ends its backoffs. The choice of untried targets, which stood alike in single.py and scatter.py, is one function. Log lines `target leaving`, `target paused`, `target resumed`; two gauges.

--- a/packages/cassiastair/cassiastair/forwarding/availability.py
+++ b/packages/cassiastair/cassiastair/forwarding/availability.py
@@ -1,11 +1,44 @@
-"""Whether a service can take a request now, and when a refused caller should return."""
+"""Which targets can take a request now, and when a refused caller should return."""
 
 import math
+from collections.abc import Collection
 
 from .dependencies import ForwardingDependencies
+from .target_stats import RoutedTargetStats
 
 MIN_RETRY_AFTER_S = 0.05
-MAX_RETRY_AFTER_S = 2.0
+MAX_LIMIT_WAIT_S = 2.0  # room under a limit may also come from other VMs
+
+
+def find_untried(
+    deps: ForwardingDependencies, service: str, tried: Collection[str], extra: bool
+) -> list[RoutedTargetStats]:
+    """Return the untried targets of a service that may get a request now.
+
+    If possible these are the ones with free connections.
+
+    Parameters
+    ----------
+    deps : ForwardingDependencies
+        Collaborators.
+    service : str
+        Name of the service.
+    tried : collection of str
+        Names of the targets to leave out.
+    extra : bool
+        Whether the request is a hedge or a retry.
+    """
+    now = deps.clock.now()
+    may_send = deps.limits.may_send
+    candidates = [
+        c
+        for c in deps.registry.candidates(service)
+        if c.target.name not in tried
+        and c.paused_until <= now
+        and may_send(c.target.name, extra)
+    ]
+    has_free_connection = deps.transport.has_free_connection
+    return [c for c in candidates if has_free_connection(c.target)] or candidates
 
 
 def find_service_wait(deps: ForwardingDependencies, service: str) -> float:
@@ -14,19 +47,22 @@
     Returns
     -------
     float
-        Zero if a reachable target has no limit or its limit leaves room; infinity if
-        no target is in reach or other VMs share the limits.
+        Zero if a reachable target wants requests and its limit leaves room; infinity
+        if no target is in reach or other VMs share the limits.
     """
-    if not deps.limits.count():
-        return 0.0 if deps.registry.has_reachable_target(service) else math.inf
-    return min(
-        (
-            deps.limits.find_wait(candidate.target.name, extra=False)
-            for candidate in deps.registry.candidates(service)
-            if not candidate.unreachable
-        ),
-        default=math.inf,
-    )
+    now = deps.clock.now()
+    shortest = math.inf
+    for candidate in deps.registry.candidates(service):
+        if candidate.unreachable:
+            continue
+        wait = deps.limits.find_wait(candidate.target.name, extra=False)
+        if MAX_LIMIT_WAIT_S < wait < math.inf:
+            wait = MAX_LIMIT_WAIT_S
+        wait = max(wait, candidate.paused_until - now)
+        if wait <= 0:
+            return 0.0
+        shortest = min(shortest, wait)
+    return shortest
 
 
 def find_retry_after(wait: float, default: float) -> float:
@@ -35,10 +71,10 @@
     Parameters
     ----------
     wait : float
-        Seconds until the limits of the targets leave room, or infinity.
+        Seconds until a target may get a request, or infinity.
     default : float
-        Result for an infinite wait.
+        Result if no wait is known: none is needed, or no target is in sight.
     """
-    if math.isinf(wait):
+    if wait <= 0 or math.isinf(wait):
         return default
-    return min(max(wait, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    return max(wait, MIN_RETRY_AFTER_S)
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -8,7 +8,7 @@
 from ..targets.failures import ConnectFailure
 from .answer import MergedAnswer
 from .answer_deadlines import AnswerDeadlines
-from .availability import find_retry_after, find_service_wait
+from .availability import find_retry_after, find_service_wait, find_untried
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
 from .send import Send, stop_later
@@ -19,6 +19,7 @@
 
 INITIAL_BACKOFF_S = 0.02  # before targets that refused are retried; doubles each time
 MAX_BACKOFFS = 4  # per shard
+MAX_USEFUL_WAIT_S = INITIAL_BACKOFF_S * (2**MAX_BACKOFFS - 1)  # all backoffs
 RETRY_AFTER_S = 0.5  # after which targets of a lost shard may have returned
 
 
@@ -158,13 +159,17 @@
 
         Such a target is reachable, and the limit that it may have named leaves room.
         """
-        waits = sorted(find_service_wait(self._deps, s.service) for s in self._shards)
+        waits = self._find_waits()
         wait = waits[self._needed - 1]
         if wait > 0:
             raise NoTargetError(
                 self._describe_unready(waits), find_retry_after(wait, RETRY_AFTER_S)
             )
 
+    def _find_waits(self) -> list[float]:
+        """Return the seconds until each shard can take a request, in rising order."""
+        return sorted(find_service_wait(self._deps, s.service) for s in self._shards)
+
     def _describe_unready(self, waits: list[float]) -> str:
         """Return how many shards can take a request, and what keeps the others."""
         is_reachable = self._deps.registry.has_reachable_target
@@ -172,7 +177,7 @@
         state = "in reach"
         if ready >= self._needed:
             ready = sum(1 for wait in waits if wait <= 0)
-            state = "with room under their limits"
+            state = "with a target that takes requests now"
         return f"{ready} of {len(self._shards)} shards {state}, needed {self._needed}"
 
     def _is_finished(self) -> bool:
@@ -221,20 +226,9 @@
         return True
 
     def _find_untried(self, shard: ShardState) -> list[RoutedTargetStats]:
-        """Return the untried targets of a shard that may get a request now.
-
-        If possible these are the ones with free connections.
-        """
-        may_send = self._deps.limits.may_send
+        """Return the untried targets of a shard that may get a request now."""
         is_extra = bool(shard.sends)
-        candidates = [
-            c
-            for c in self._deps.registry.candidates(shard.service)
-            if c.target.name not in shard.tried and may_send(c.target.name, is_extra)
-        ]
-        has_free_connection = self._deps.transport.has_free_connection
-        unblocked = [c for c in candidates if has_free_connection(c.target)]
-        return unblocked or candidates
+        return find_untried(self._deps, shard.service, shard.tried, is_extra)
 
     def _may_send_extra(self, shard: ShardState) -> bool:
         """Spend an extra send on a shard; return whether its limits allow it."""
@@ -287,7 +281,7 @@
             if needs_no_budget or self._may_send_extra(shard):
                 self._send(shard, "retry")
                 return
-        elif not_run and shard.backoffs < MAX_BACKOFFS:
+        elif not_run and shard.backoffs < MAX_BACKOFFS and self._may_wait(shard):
             backoff = INITIAL_BACKOFF_S * 2**shard.backoffs
             shard.backoffs += 1
             self._timers.add(
@@ -296,6 +290,11 @@
             return
         self._give_up(shard)
 
+    def _may_wait(self, shard: ShardState) -> bool:
+        """Return False if all targets of a shard have named a time that is too late."""
+        wait = find_service_wait(self._deps, shard.service)
+        return not MAX_USEFUL_WAIT_S < wait < math.inf
+
     def _retry_after_backoff(self, shard: ShardState) -> None:
         """Retry at any target of a shard, after all of them refused."""
         shard.tried.clear()
@@ -350,7 +349,8 @@
         )
         sends = list(self._shard_of)
         if all(is_proved_not_run(send) for send in sends):
-            raise NoTargetError(message, RETRY_AFTER_S)
+            wait = self._find_waits()[self._needed - 1]
+            raise NoTargetError(message, find_retry_after(wait, RETRY_AFTER_S))
         if self._deps.clock.now() >= self._deadlines.deadline:
             raise DeadlineError(message)
         raise RunUnknownError(message)
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -13,12 +13,14 @@
     RefusedFailure,
     TargetFailure,
 )
+from ..targets.notice import NO_NOTICE, TargetNotice
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
 from .route_latencies import RouteLatency
 from .target_stats import RoutedTargetStats
 from .transport import TargetReply
 
+MAX_PAUSE_S = 600.0  # a target that names a longer time is tried again after this
 ABANDONED_SEND_S = 0.35  # time for an abandoned send to end and keep its connection
 
 
@@ -112,7 +114,8 @@
             reply = self._deps.transport.send(target, request, deadline, at_most_once)
         except TargetFailure as failure:
             if isinstance(failure, RefusedFailure) and failure.code != "moved":
-                self._record_limit(request, failure.rate_limit)
+                self._record_limit(request, failure.notice.rate_limit)
+            self._record_notice(request, failure.notice)
             self._record_failure(failure)
             self._deps.send_counts.record_end(type(failure).__name__)
             return failure
@@ -121,7 +124,8 @@
                 "internal failure", request.attempt_id, reason=repr(error), trace=True
             )
             return BrokenFailure(f"internal failure: {error!r}")
-        self._record_limit(request, reply.rate_limit)
+        self._record_limit(request, reply.notice.rate_limit)
+        self._record_notice(request, reply.notice)
         now = self._deps.clock.now()
         if reply.succeeded:
             ratio = self._latency.observe(now - self.started_at)
@@ -146,6 +150,31 @@
         else:
             self._deps.limits.record_answer(target, rate, self.started_at)
 
+    def _record_notice(self, request: CallerRequest, notice: TargetNotice) -> None:
+        """Record that the target leaves, or wants no requests for a time."""
+        if notice is NO_NOTICE:
+            return
+        deps, target = self._deps, self.stats.target
+        if notice.leaving and deps.registry.record_leaving(target):
+            deps.decision_log.warn(
+                "target leaving", request.attempt_id, target=target.name
+            )
+        if notice.pause is None:
+            return
+        if math.isnan(notice.pause):
+            deps.decision_log.warn(
+                "pause unreadable", request.attempt_id, target=target.name
+            )
+            return
+        now = deps.clock.now()
+        pause = min(notice.pause, MAX_PAUSE_S)
+        if self.stats.paused_until <= now:
+            deps.decision_log.warn(
+                "target paused", request.attempt_id, target=target.name, seconds=pause
+            )
+        deps.registry.record_pause(self.stats, now + pause)
+        deps.transport.pause(target, now + pause)
+
     def record_late(self) -> float:
         """Record that the target has not answered so far.
 
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -1,12 +1,14 @@
 """Requests that are served by a single target."""
 
+import math
+
 from ..errors import DeadlineError, NoTargetError, RunUnknownError
 from ..routing import Route
 from ..search.result_queue import ResultQueue
 from ..targets.failures import ConnectFailure
 from .answer import ForwardedAnswer
 from .answer_deadlines import find_deadline
-from .availability import find_retry_after, find_service_wait
+from .availability import find_retry_after, find_service_wait, find_untried
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
 from .scatter import describe_outcome, is_proved_not_run
@@ -18,6 +20,7 @@
 RETRY_AFTER_S = 0.3  # after which a target that refused may accept requests again
 INITIAL_BACKOFF_S = 0.05  # before targets that refused are retried; doubles each time
 MAX_BACKOFFS = 3
+MAX_USEFUL_WAIT_S = INITIAL_BACKOFF_S * (2**MAX_BACKOFFS - 1)  # all backoffs
 LOWEST_SERVER_ERROR = 500  # lowest status for which another target is tried
 
 
@@ -72,7 +75,7 @@
         if wait > 0:
             retry_after = find_retry_after(wait, RETRY_AFTER_S)
             reachable = self._deps.registry.has_reachable_target(self._service)
-            state = "with room under its limit" if reachable else "in reach"
+            state = "that takes requests now" if reachable else "in reach"
             message = f"no target of {self._service} {state}"
             raise NoTargetError(message, retry_after)
         self._deps.retry_budget.record_request(self._service)
@@ -120,19 +123,9 @@
             self._timers.add(now + self._hedge_delay, self._hedge, "hedge")
 
     def _find_untried(self) -> list[RoutedTargetStats]:
-        """Return the untried targets that may get a request now.
-
-        If possible these are the ones with free connections.
-        """
-        may_send = self._deps.limits.may_send
+        """Return the untried targets that may get a request now."""
         is_extra = bool(self._sends)
-        candidates = [
-            c
-            for c in self._deps.registry.candidates(self._service)
-            if c.target.name not in self._tried and may_send(c.target.name, is_extra)
-        ]
-        has_free_connection = self._deps.transport.has_free_connection
-        return [c for c in candidates if has_free_connection(c.target)] or candidates
+        return find_untried(self._deps, self._service, self._tried, is_extra)
 
     def _may_send_extra(self) -> bool:
         """Spend an extra send; return whether the limits allow it."""
@@ -181,12 +174,19 @@
                 return
         elif not_run and self._backoffs < MAX_BACKOFFS:
             backoff = INITIAL_BACKOFF_S * 2**self._backoffs
+            if MAX_USEFUL_WAIT_S < self._find_wait() < math.inf:
+                self._finished = True  # all targets have named a later time
+                return
             self._backoffs += 1
             now = self._deps.clock.now()
             self._timers.add(now + backoff, self._retry_after_backoff, "retry")
             return
         self._finished = True
 
+    def _find_wait(self) -> float:
+        """Return the seconds until a target may get the request; see `availability`."""
+        return find_service_wait(self._deps, self._service)
+
     def _retry_after_backoff(self, reason: str) -> None:
         """Retry at any target, after all of them refused."""
         self._tried.clear()
@@ -204,7 +204,8 @@
             return ForwardedAnswer(answer.status, answer.headers, answer.body)
         message = "; ".join(describe_outcome(send.outcome) for send in self._sends)
         if all(is_proved_not_run(send) for send in self._sends):
-            raise NoTargetError(f"the request has not run: {message}", RETRY_AFTER_S)
+            retry_after = find_retry_after(self._find_wait(), RETRY_AFTER_S)
+            raise NoTargetError(f"the request has not run: {message}", retry_after)
         if self._deps.clock.now() >= self._deadline:
             raise DeadlineError(message)
         raise RunUnknownError(message)
--- a/packages/cassiastair/cassiastair/forwarding/target_limits_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_limits_test.py
@@ -11,6 +11,7 @@
 from ..clock import ManualClock
 from ..errors import NoTargetError, PeerProtocolError
 from ..targets.failures import ConnectFailure
+from ..targets.notice import TargetNotice
 from ..testing import in_virtual_time
 from ..testing.fake_transport import FakeTransport, make_reply
 from ..testing.forwarding_bench import (
@@ -383,7 +384,9 @@
 
 def name_limit(bench: ForwardingBench, name: str, rate: float | None) -> None:
     """Let a target name a limit in its answers from now on."""
-    reply = replace(make_reply(bench.registry.find(name).target), rate_limit=rate)
+    reply = replace(
+        make_reply(bench.registry.find(name).target), notice=TargetNotice(rate)
+    )
     bench.transport.get(name).override = lambda: reply
 
 
--- a/packages/cassiastair/cassiastair/forwarding/target_registry.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry.py
@@ -11,15 +11,16 @@
 # the way of a request to the target. Records that expired because targets could not
 # reach the platform return within about two seconds.
 FALLBACK_SHARE = 0.75
+MAX_LEAVING = 10_000  # targets that are remembered as leaving
 
 
 class RoutedTargetRegistry:
     """Targets that may get requests, with the statistics of each.
 
-    A target that is draining, or whose record was removed, gets no requests while
-    its service has a live target. If there is none, the draining targets serve as a
-    fallback for a part of the drain limit, because records also expire when targets
-    cannot reach the platform for a short time.
+    A target that is draining, by its record or its own word, or whose record was
+    removed, gets no requests while its service has a live target. If there is none, the
+    draining targets serve as a fallback for a part of the drain limit, because records
+    also expire when targets cannot reach the platform for a short time.
 
     Parameters
     ----------
@@ -48,6 +49,9 @@
         self._live: dict[str, RoutedTargetStats] = {}
         self._by_service: dict[str, list[RoutedTargetStats]] = {}
         self._draining: dict[str, dict[str, tuple[RoutedTargetStats, float]]] = {}
+        self._leaving: dict[str, RoutedTarget] = {}  # that have said so themselves
+        # Targets that want no requests, each with the end of that time.
+        self._paused: dict[str, tuple[RoutedTarget, float]] = {}
 
     def __len__(self) -> int:
         """Return the number of live targets."""
@@ -56,8 +60,14 @@
     def update(self, target: RoutedTarget) -> None:
         """Add or replace the record of a target.
 
-        Statistics are kept unless the record describes another process.
+        Statistics are kept unless the record describes another process. A target that
+        has said itself that it leaves stays so, whatever its record says.
         """
+        left = self._leaving.get(target.name)
+        if left is not None:
+            if target.is_same_incarnation(left):
+                return
+            del self._leaving[target.name]
         known = self._live.get(target.name)
         if known is not None and not target.is_same_incarnation(known.target):
             self._remove_live(known)
@@ -76,6 +86,9 @@
         stats, _ = draining.pop(target.name, (None, 0.0))
         if stats is None or not target.is_same_incarnation(stats.target):
             stats = RoutedTargetStats(target)
+            paused, until = self._paused.get(target.name, (None, 0.0))
+            if target.is_same_incarnation(paused):
+                stats.paused_until = until
         stats.target = target
         self._live[target.name] = stats
         self._by_service.setdefault(target.service, []).append(stats)
@@ -88,15 +101,56 @@
             return
         known.target = target
         self._remove_live(known)
-        self._add_draining(known)
+        self._add_draining(known, self._find_change_age())
+
+    def record_leaving(self, target: RoutedTarget) -> bool:
+        """Record that a target has said itself that it leaves; it becomes draining.
+
+        Returns
+        -------
+        bool
+            Whether that is news of a target that may get requests.
+        """
+        if target.name in self._leaving:
+            return False
+        known = self._live.get(target.name)
+        if known is not None and target.is_same_incarnation(known.target):
+            self._remove_live(known)
+            self._add_draining(known, 0.0)
+        elif target.name not in self._draining.get(target.service, {}):
+            return False
+        if len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[target.name] = target
+        return True
+
+    def count_leaving(self) -> int:
+        """Return the number of targets that have said themselves that they leave."""
+        return len(self._leaving)
+
+    def record_pause(self, stats: RoutedTargetStats, until: float) -> None:
+        """Record that a target wants no requests before a time, in seconds.
+
+        This is remembered while its record is missing, which may lapse and return.
+        """
+        stats.paused_until = until
+        self._paused[stats.target.name] = (stats.target, until)
+
+    def list_paused(self) -> list[str]:
+        """Return the names of the targets that want no requests for a time."""
+        now = self._clock.now()
+        return [name for name, (_, until) in self._paused.items() if until > now]
 
     def remove(self, name: str) -> None:
         """Handle the removal of a target's record: a live target becomes draining."""
+        left = self._leaving.get(name)
+        if left is not None and not left.started_ms:
+            del self._leaving[name]  # a later record may be that of another process
         known = self._live.get(name)
         if known is None:
             return
         self._remove_live(known)
-        self._add_draining(known)
+        self._add_draining(known, self._find_change_age())
 
     def _remove_live(self, stats: RoutedTargetStats) -> None:
         """Remove a target from the live targets."""
@@ -107,9 +161,9 @@
         if not siblings:
             del self._by_service[target.service]
 
-    def _add_draining(self, stats: RoutedTargetStats) -> None:
-        """Keep a target that drains from now on as a fallback for a time."""
-        until = self._clock.now() - self._find_change_age() + self._fallback_time
+    def _add_draining(self, stats: RoutedTargetStats, age: float) -> None:
+        """Keep a target that has been draining for `age` seconds as a fallback."""
+        until = self._clock.now() - age + self._fallback_time
         service = self._draining.setdefault(stats.target.service, {})
         service[stats.target.name] = (stats, until)
 
@@ -161,11 +215,13 @@
         return list(self._live)
 
     def remove_expired(self) -> None:
-        """Remove draining targets whose fallback time is over.
+        """Remove draining targets whose fallback time is over, and pauses that ended.
 
         The daemon calls this periodically.
         """
         now = self._clock.now()
+        for name in [n for n, (_, until) in self._paused.items() if until <= now]:
+            del self._paused[name]
         for service, draining in list(self._draining.items()):
             for name, (stats, until) in list(draining.items()):
                 if now >= until:
--- a/packages/cassiastair/cassiastair/forwarding/target_stats.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_stats.py
@@ -35,6 +35,8 @@
         Time of the last answer, in seconds.
     unreachable : bool
         Whether the last probe could not open a connection.
+    paused_until : float
+        Time until which the target wants no requests from this VM, in seconds.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "backoff_until",
         "answered_at",
         "unreachable",
+        "paused_until",
         "_started_at",
     )
 
@@ -56,6 +59,7 @@
         self.backoff_until = 0.0
         self.answered_at = 0.0
         self.unreachable = False
+        self.paused_until = 0.0
         self._started_at: dict[object, float] = {}
 
     @property
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from ..targets.notice import NO_NOTICE, TargetNotice
 from .request import CallerRequest
 from .routed_target import RoutedTarget
 
@@ -21,9 +22,8 @@
         Complete body.
     seal : str or None
         Signature that the target added to its reply, if any.
-    rate_limit : float or None
-        Requests a second that the target accepts from all VMs together; None if it
-        names no limit, not a number if what it names is unreadable.
+    notice : TargetNotice
+        What the reply says of the target.
     names_attempt : bool
         Whether the reply named the attempt that it answers.
     """
@@ -32,7 +32,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     seal: str | None
-    rate_limit: float | None = None
+    notice: TargetNotice = NO_NOTICE
     names_attempt: bool = True
 
     @property
@@ -92,6 +92,10 @@
     def probe(self, target: RoutedTarget) -> bool:
         """Open a connection to a target; return whether that succeeded."""
 
+    @abstractmethod
+    def pause(self, target: RoutedTarget, until: float) -> None:
+        """Fail requests that wait for a connection to a target until a time passes."""
+
     @abstractmethod
     def retire(self, target: RoutedTarget) -> None:
         """Close the idle connections to a target that gets no more requests.
--- a/packages/cassiastair/cassiastair/targets/failures.py
+++ b/packages/cassiastair/cassiastair/targets/failures.py
@@ -1,6 +1,7 @@
 """Failures of a request to a target."""
 
 from ..data import HeldVersions, MissingReason
+from .notice import NO_NOTICE, TargetNotice
 
 
 class TargetFailure(Exception):
@@ -19,15 +20,18 @@
         Whether the failure proves that the target did not run the request.
     names_attempt : bool
         Whether the reply, if there was one, named the attempt that it answers.
+    notice : TargetNotice
+        What the reply, if there was one, says of the target.
     """
 
     reason = MissingReason.UNREACHABLE
     proves_not_run = False
     names_attempt = True
 
-    def __init__(self, message: str):
+    def __init__(self, message: str, notice: TargetNotice = NO_NOTICE):
         super().__init__(message)
         self.message = message
+        self.notice = notice
 
 
 class ConnectFailure(TargetFailure):
@@ -61,9 +65,8 @@
         ``shed``, ``draining``, ``expired`` or ``cancelled``.
     incarnation : str
         Run of the target that refused the request.
-    rate_limit : float or None, optional
-        Requests a second that the target accepts from all VMs together; None if it
-        names no limit, not a number if what it names is unreadable.
+    notice : TargetNotice, optional
+        What the refusal says of the target.
     names_attempt : bool, optional
         Whether the refusal named the attempt that it answers.
     """
@@ -76,14 +79,13 @@
         message: str,
         code: str,
         incarnation: str,
-        rate_limit: float | None = None,
+        notice: TargetNotice = NO_NOTICE,
         names_attempt: bool = True,
     ):
-        super().__init__(message)
+        super().__init__(message, notice)
         self.names_attempt = names_attempt
         self.code = code
         self.incarnation = incarnation
-        self.rate_limit = rate_limit
 
 
 class NotHeldFailure(TargetFailure):
--- a/packages/cassiastair/cassiastair/testing/fake_transport.py
+++ b/packages/cassiastair/cassiastair/testing/fake_transport.py
@@ -107,6 +107,9 @@
         """Return True if the target is reachable."""
         return self.get(target.name).reachable
 
+    def pause(self, target: RoutedTarget, until: float) -> None:
+        """Do nothing; no request waits for a connection."""
+
     def retire(self, target: RoutedTarget) -> None:
         """Record that the idle connections to a target were closed."""
         self.closed_idle.append(target.name)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -106,6 +106,7 @@
         self.pauses = PauseDetector(self._clock)
         self.loop_lag = 0.0
         self._pruned_version = -1
+        self._paused_targets: set[str] = set()
         self.own = self._make_own_vm()
         self._wire_forwarding(codec)
         self._wire_replication(decoder, make_store_client(*settings.store_address))
@@ -285,6 +286,8 @@
         add("targets", "Targets that may get work.", lambda: len(self.registry))
         add("targets_out_of_reach", "Of them.", self.registry.count_unreachable)
         add("targets_in_trouble", "Slow or failing.", self.outliers.count)
+        add("targets_leaving", "By their word.", self.registry.count_leaving)
+        add("targets_paused", "For a time.", lambda: len(self.registry.list_paused()))
         add("targets_limited", "With a named rate.", self.limits.count)
         add("peer_links", "Open links.", lambda: len(self.node.links))
         add("known_vms", "VMs that share bounds.", self.count_vms)
@@ -357,6 +360,7 @@
             self.transport.update_shares()
             self._share_outliers()
             self._share_limits()
+            self._log_resumed()
             self._prune_statistics()
             heap.freeze_if_grown(len(self.replica))
             due = self._clock.now() + MAINTENANCE_INTERVAL_S
@@ -373,6 +377,13 @@
         for name, state in self.outliers.find_changes():
             self.log.warn("target trouble", "", target=name, state=state)
 
+    def _log_resumed(self) -> None:
+        """Log the targets whose pause is over."""
+        paused = set(self.registry.list_paused())
+        for name in sorted(self._paused_targets - paused):
+            self.log.warn("target resumed", "", target=name)
+        self._paused_targets = paused
+
     def _share_limits(self) -> None:
         """Send the limits of targets to peers and log those that have changed."""
         self.limits.update()
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -222,6 +222,12 @@
             pool.add_idle(connection)
         return True
 
+    def pause(self, target: RoutedTarget, until: float) -> None:
+        """Fail requests that wait for a connection to a target until a time passes."""
+        pool = self._pools.get(target.name)
+        if pool is not None and target.is_same_incarnation(pool.target):
+            pool.refuse_until(until)
+
     def retire(self, target: RoutedTarget) -> None:
         """Remove the pool of a target that gets no more requests."""
         pool = self._pools.get(target.name)
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -63,7 +63,7 @@
         self._limit = limit
         self._limiter = ConcurrencyLimiter(self._limit)
         self._idle: list[TargetConnection] = []
-        self._is_retired = False
+        self._refuses_until = float("-inf")
 
     @property
     def size(self) -> int:
@@ -91,12 +91,12 @@
         Raises
         ------
         OSError
-            If no connection can be opened, or the pool was retired meanwhile.
+            If no connection can be opened, or the target takes no requests now.
         """
         self._limiter.acquire()
         try:
-            if self._is_retired:
-                raise ConnectionAbortedError("the target gets no more requests")
+            if self._clock.now() < self._refuses_until:
+                raise ConnectionAbortedError("the target gets no requests now")
             while (connection := self._pop_idle(attempt)) is not None:
                 if not self._is_expired(connection) and not connection.is_dropped(
                     check_open
@@ -170,9 +170,13 @@
             connection = self.acquire()
             self.release(connection)
 
+    def refuse_until(self, until: float) -> None:
+        """Give no connection before a time, also not to tasks that wait for one."""
+        self._refuses_until = until
+
     def retire(self) -> None:
         """Close the pool for good; tasks that wait for a connection get none."""
-        self._is_retired = True
+        self.refuse_until(float("inf"))
         self.close()
 
     def close(self) -> None:
