Forget targets that left, ignore the word of another target

A 421 comes from another target that has the address now, so what it says of itself is not about the target that was meant.

Change: the notice of such a refusal is ignored; a target that left is forgotten 60 s after its record went, which is longer than a lapsed record is away.

--- a/packages/cassiastair/cassiastair/forwarding/notice_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/notice_test.py
@@ -23,6 +23,7 @@
 )
 from ..testing.virtual_time import run_in_virtual_time
 from .send import MAX_PAUSE_S
+from .target_registry import LEFT_MEMORY_S
 
 PATH = "/one/x"
 SEARCH_PATH = "/a/x"
@@ -134,6 +135,28 @@
         self.run_many(bench, 10)
         assert bench.registry.find("desk.0") is None
 
+    @in_virtual_time
+    def test_a_target_that_left_is_forgotten_some_time_after_its_record(self, clock):
+        bench = self.set_up(clock)
+        self.say(bench, "desk.0", LEAVING)
+        self.run_many(bench, 10)
+        bench.registry.remove("desk.0")
+        eventlet.sleep(LEFT_MEMORY_S - 1.0)
+        bench.registry.remove_expired()
+        assert bench.registry.count_leaving() == 1
+        eventlet.sleep(2.0)
+        bench.registry.remove_expired()
+        assert bench.registry.count_leaving() == 0
+
+    @in_virtual_time
+    def test_the_word_of_another_target_at_the_address_counts_for_nothing(self, clock):
+        bench = self.set_up(clock)
+        notice = TargetNotice(leaving=True, pause=9.0)
+        moved = RefusedFailure("status 421", "moved", "", notice)
+        bench.transport.get("desk.0").override = lambda: moved
+        self.run_many(bench, 10)
+        assert bench.registry.find("desk.0").paused_until == 0.0
+
     @in_virtual_time
     def test_another_process_under_the_name_starts_clean(self, clock):
         bench = self.set_up(clock)
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -113,9 +113,7 @@
         try:
             reply = self._deps.transport.send(target, request, deadline, at_most_once)
         except TargetFailure as failure:
-            if isinstance(failure, RefusedFailure) and failure.code != "moved":
-                self._record_limit(request, failure.notice.rate_limit)
-            self._record_notice(request, failure.notice)
+            self._record_failure_notice(request, failure)
             self._record_failure(failure)
             self._deps.send_counts.record_end(type(failure).__name__)
             return failure
@@ -140,6 +138,17 @@
             self._deps.send_counts.record_end("failed_at_target")
         return reply
 
+    def _record_failure_notice(
+        self, request: CallerRequest, failure: TargetFailure
+    ) -> None:
+        """Record what the reply said, unless another target has the address now."""
+        is_refusal = isinstance(failure, RefusedFailure)
+        if is_refusal and failure.code == "moved":
+            return
+        if is_refusal:
+            self._record_limit(request, failure.notice.rate_limit)
+        self._record_notice(request, failure.notice)
+
     def _record_limit(self, request: CallerRequest, rate: float | None) -> None:
         """Record the request rate that the target named; log an unreadable one."""
         target = self.stats.target
--- a/packages/cassiastair/cassiastair/forwarding/target_registry.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry.py
@@ -11,7 +11,7 @@
 # the way of a request to the target. Records that expired because targets could not
 # reach the platform return within about two seconds.
 FALLBACK_SHARE = 0.75
-MAX_LEAVING = 10_000  # targets that are remembered as leaving
+LEFT_MEMORY_S = 60.0  # for which a target that left is remembered without a record
 
 
 class RoutedTargetRegistry:
@@ -50,6 +50,7 @@
         self._by_service: dict[str, list[RoutedTargetStats]] = {}
         self._draining: dict[str, dict[str, tuple[RoutedTargetStats, float]]] = {}
         self._leaving: dict[str, RoutedTarget] = {}  # that have said so themselves
+        self._removed_at: dict[str, float] = {}  # of those whose record is missing
         # Targets that want no requests, each with the end of that time.
         self._paused: dict[str, tuple[RoutedTarget, float]] = {}
 
@@ -66,8 +67,9 @@
         left = self._leaving.get(target.name)
         if left is not None:
             if target.is_same_incarnation(left):
+                self._removed_at.pop(target.name, None)
                 return
-            del self._leaving[target.name]
+            self._forget_leaving(target.name)
         known = self._live.get(target.name)
         if known is not None and not target.is_same_incarnation(known.target):
             self._remove_live(known)
@@ -119,11 +121,14 @@
             self._add_draining(known, 0.0)
         elif target.name not in self._draining.get(target.service, {}):
             return False
-        if len(self._leaving) >= MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
         self._leaving[target.name] = target
         return True
 
+    def _forget_leaving(self, name: str) -> None:
+        """Forget that a target has said that it leaves."""
+        del self._leaving[name]
+        self._removed_at.pop(name, None)
+
     def count_leaving(self) -> int:
         """Return the number of targets that have said themselves that they leave."""
         return len(self._leaving)
@@ -144,8 +149,10 @@
     def remove(self, name: str) -> None:
         """Handle the removal of a target's record: a live target becomes draining."""
         left = self._leaving.get(name)
-        if left is not None and not left.started_ms:
-            del self._leaving[name]  # a later record may be that of another process
+        if left is not None:
+            self._removed_at[name] = self._clock.now()
+            if not left.started_ms:  # a later record may be that of another process
+                self._forget_leaving(name)
         known = self._live.get(name)
         if known is None:
             return
@@ -215,13 +222,16 @@
         return list(self._live)
 
     def remove_expired(self) -> None:
-        """Remove draining targets whose fallback time is over, and pauses that ended.
+        """Remove draining targets whose fallback time is over, and what is outdated.
 
         The daemon calls this periodically.
         """
         now = self._clock.now()
         for name in [n for n, (_, until) in self._paused.items() if until <= now]:
             del self._paused[name]
+        since = now - LEFT_MEMORY_S
+        for name in [n for n, at in self._removed_at.items() if at < since]:
+            self._forget_leaving(name)
         for service, draining in list(self._draining.items()):
             for name, (stats, until) in list(draining.items()):
                 if now >= until:
