Play leaving and pausing targets in the soak; docs

The stand-in targets send both headers, and bear the attempt's ID in refusals as the real ones do. The checks follow the users' two rules: a request that was sent later than the drain limit after a VM had passed on such an answer does not reach the target from it; no more than two requests reach it between half a second after a named time and its end. Restarts and pauses of the VM excuse both.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -15,6 +15,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_EXCESS_RATIO = 1.5  # what a back end tolerates, relative to the limit it names
 LIMIT_EXCESS_REQUESTS = 5  # further requests that it tolerates in each window
+PAUSE_GRACE_S = 0.5  # in which requests that were on their way may still arrive
+MAX_PAUSED_REQUESTS = 2  # from one VM in the rest of the time that was named
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)  # promise that a request did not run
 
 
@@ -30,6 +32,13 @@
 
     spans: list[tuple[str, float, float]] = field(default_factory=list)
 
+    def has_overlap(self, name: str, start: float, end: float) -> bool:
+        """Return True if a disturbance of a name lies in a time, even in part."""
+        return any(
+            who == name and begun < end and start < over
+            for who, begun, over in self.spans
+        )
+
     def is_undisturbed(self, name: str, start: float, end: float) -> bool:
         """Return True if no disturbance of a name, with `SETTLE_S` added, overlaps."""
         return not any(
@@ -70,6 +79,8 @@
         *check_configuration(cluster, observations),
         *check_retry_budget(cluster),
         *check_named_limits(cluster),
+        *check_leaving(cluster, observations),
+        *check_pauses(cluster, observations),
     ]
 
 
@@ -239,3 +250,74 @@
                 )
                 break
     return violations
+
+
+def group_by_vm(requests: list, observations: Observations) -> dict[str, list]:
+    """Return the requests that a back end received, by the address of the VM."""
+    outcomes = {o.attempt_id: o for o in (*observations.searches, *observations.notes)}
+    groups: dict[str, list] = {}
+    for request in requests:
+        outcome = outcomes.get(request.attempt_id)
+        if outcome is not None:
+            groups.setdefault(outcome.vm_address, []).append((request, outcome))
+    return groups
+
+
+def check_leaving(cluster: Cluster, observations: Observations) -> list[str]:
+    """Check that VMs heed the answers in which back ends say that they leave.
+
+    A request that was sent more than `TARGET_DRAIN_S` after the VM had passed such an
+    answer on does not reach the back end, unless the VM was restarted or paused since.
+    """
+    violations = []
+    for name, back_end in cluster.back_ends.items():
+        for vm, sends in group_by_vm(back_end.requests, observations).items():
+            passed_on_at = min(
+                (
+                    outcome.ended_at
+                    for request, outcome in sends
+                    if request.notice
+                    and request.notice.leaving
+                    and outcome.status == 200
+                ),
+                default=float("inf"),
+            )
+            for request, outcome in sends:
+                if outcome.sent_at <= passed_on_at + TARGET_DRAIN_S:
+                    continue
+                if not observations.disturbances.has_overlap(
+                    vm, passed_on_at, request.received_at
+                ):
+                    violations.append(
+                        f"{request.attempt_id} reached {name}, which had left"
+                    )
+    return violations
+
+
+def check_pauses(cluster: Cluster, observations: Observations) -> list[str]:
+    """Check that VMs heed the times that back ends name in refusals.
+
+    The last time named holds. A restart or pause of the VM and faults on the way to the
+    back end excuse it.
+    """
+    has_overlap = observations.disturbances.has_overlap
+    violations = []
+    for name, back_end in cluster.back_ends.items():
+        for vm, sends in group_by_vm(back_end.requests, observations).items():
+            notices = [r.notice for r, _ in sends if r.notice and r.notice.pause_s]
+            replaced_at = [notice.sent_at for notice in notices[1:]] + [float("inf")]
+            for notice, limit in zip(notices, replaced_at, strict=False):
+                start = notice.sent_at
+                end = min(start + notice.pause_s, limit)
+                if has_overlap(vm, start, end) or has_overlap(name, start, end):
+                    continue
+                count = sum(
+                    start + PAUSE_GRACE_S < request.received_at < end
+                    for request, _ in sends
+                )
+                if count > MAX_PAUSED_REQUESTS:
+                    violations.append(
+                        f"{name} got {count} requests from {vm} in the "
+                        f"{notice.pause_s:.1f} s for which it wanted none"
+                    )
+    return violations
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -1,12 +1,13 @@
 """Plan of a soak test: the faults and changes that a seed draws before the run."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 VM_COUNT = 4
 SHARD_COUNT = 6
 FAULT_PHASE_S = 10.0  # period in which steps start
-STEP_KINDS = (
+FAULT_KINDS = (
     "kill",
     "pause",
     "stop",
@@ -29,6 +30,9 @@
     "configure",
     "reload",
 )
+NOTICE_KINDS = ("target_leaves", "targets_pause")
+STEP_KINDS = (*FAULT_KINDS, *NOTICE_KINDS)
+NOTICE_SHARE = 0.6  # of the plans that have a step in which a target says something
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,17 +69,22 @@
     return names[min(int(choice * len(names)), len(names) - 1)]
 
 
+def draw_step(rng: random.Random, kinds: Sequence[str]) -> Step:
+    """Draw one step of some kinds."""
+    return Step(
+        starts_at=round(rng.uniform(0.5, FAULT_PHASE_S), 2),
+        kind=rng.choice(kinds),
+        duration_s=round(rng.uniform(0.3, 3.0), 2),
+        choice=round(rng.random(), 3),
+    )
+
+
 def draw_plan(seed: int) -> list[Step]:
     """Draw the steps of a seed; return them in the order of their starts."""
     rng = random.Random(seed)
     count = rng.randint(3, 9)
-    steps = [
-        Step(
-            starts_at=round(rng.uniform(0.5, FAULT_PHASE_S), 2),
-            kind=rng.choice(STEP_KINDS),
-            duration_s=round(rng.uniform(0.3, 3.0), 2),
-            choice=round(rng.random(), 3),
-        )
-        for _ in range(count)
-    ]
+    steps = [draw_step(rng, FAULT_KINDS) for _ in range(count)]
+    # Drawn last, so that the steps above are those that a seed always had.
+    if rng.random() < NOTICE_SHARE:
+        steps.append(draw_step(rng, NOTICE_KINDS))
     return sorted(steps, key=lambda step: step.starts_at)
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -19,6 +19,7 @@
 RESTART_DELAY_S = 0.3  # from the exit of a VM's process to its next start
 DESK_COUNT = 3
 LIMIT_S = 6.0  # shortest time for which targets name a limit
+LEAVING_S = 6.0  # from a target's own word to that of the store; twice the drain limit
 ZONES = ("north", "south")
 
 
@@ -245,7 +246,9 @@
         self._store_proxy.reset()
 
     def _do_target_silent(self, step: Step) -> None:
-        proxy = self._proxies[self._pick_target(step)]
+        name = self._pick_target(step)
+        self._record_disturbance(name, step.duration_s)
+        proxy = self._proxies[name]
         proxy.dropped_direction = ("in", "out", "both")[int(step.choice * 1000) % 3]
         eventlet.sleep(step.duration_s)
         proxy.dropped_direction = ""
@@ -289,6 +292,32 @@
         for back_end in back_ends:
             back_end.spec.faults.rate_limit = None
 
+    def _do_target_leaves(self, step: Step) -> None:
+        """Let a target say that it leaves, long before the store says so."""
+        name = self._pick_target(step)
+        back_end = self._cluster.back_ends[name]
+        self._last_suffix += 1
+        service = back_end.spec.service
+        self._add_target(service, f"{name}l{self._last_suffix}", back_end.spec.zone)
+        eventlet.sleep(0.5)
+        back_end.spec.faults.leaving = True
+        eventlet.sleep(LEAVING_S)
+        self._drain(name)
+
+    def _do_targets_pause(self, step: Step) -> None:
+        """Let targets refuse requests and name a time, for longer than that time.
+
+        All targets for notes are among them, so that no other one can serve.
+        """
+        names = [self._pick_target(step), *(f"desk-{n}" for n in range(DESK_COUNT))]
+        all_faults = [self._cluster.back_ends[name].spec.faults for name in names]
+        pause_s = 1.0 + 3.0 * step.choice
+        for faults in all_faults:
+            faults.pause_s = pause_s
+        eventlet.sleep(pause_s + step.duration_s)
+        for faults in all_faults:
+            faults.pause_s = None
+
     def _do_target_crashes(self, step: Step) -> None:
         name = self._pick_target(step)
         back_end = self._cluster.back_ends[name]
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -15,6 +15,25 @@
 RECORD_BYTES = 16  # size of one record
 
 
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """What an answer says of its back end.
+
+    Parameters
+    ----------
+    sent_at : float
+        Time of the answer in seconds.
+    leaving : bool
+        Whether it says that the back end leaves.
+    pause_s : float or None
+        Seconds for which it wants no requests from the VM; None if it names none.
+    """
+
+    sent_at: float
+    leaving: bool
+    pause_s: float | None
+
+
 @dataclass(slots=True)
 class ReceivedRequest:
     """A request that a back end received.
@@ -39,6 +58,8 @@
         Limit in requests a second that the back end named at that time.
     is_completed : bool
         True once the work is done, whether or not an answer was sent.
+    notice : Notice or None
+        What its answer says of the back end; None without such an answer.
     """
 
     attempt_id: str
@@ -51,6 +72,7 @@
     is_executed: bool
     rate_limit: float | None = None
     is_completed: bool = False
+    notice: Notice | None = None
 
 
 @dataclass(slots=True)
@@ -77,6 +99,10 @@
         Accept requests without ever answering them.
     rate_limit : float or None
         Requests a second that answers name as the limit for all VMs together.
+    leaving : bool
+        Say in all answers that the back end leaves.
+    pause_s : float or None
+        Refuse all requests and name this time in seconds; None to take requests.
     """
 
     drop_answer: float = 0.0
@@ -88,6 +114,8 @@
     work_factor: float = 1.0
     never_answer: bool = False
     rate_limit: float | None = None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -239,11 +267,14 @@
         record = self._record_request(request)
         if expected is not None and expected != self.spec.name:
             record.is_executed = False
-            sock.sendall(encode_message("HTTP/1.1 421 Misdirected Request", {}))
+            headers = {"X-Attempt-Id": record.attempt_id}
+            sock.sendall(encode_message("HTTP/1.1 421 Misdirected Request", headers))
             return True
-        if self._should_inject(faults.shed):
+        if faults.pause_s is not None or self._should_inject(faults.shed):
             record.is_executed = False
-            headers = {"X-Not-Executed": "1"} | make_limit_header(faults)
+            record.notice = Notice(self._clock(), faults.leaving, faults.pause_s)
+            headers = {"X-Not-Executed": "1", "X-Attempt-Id": record.attempt_id}
+            headers |= make_notice_headers(faults)
             sock.sendall(encode_message("HTTP/1.1 503 Full", headers))
             return True
         with self._slots:
@@ -252,6 +283,7 @@
         record.is_completed = True
         if self._should_inject(faults.drop_answer):
             return False
+        record.notice = Notice(self._clock(), faults.leaving, None)
         return self._send_answer(sock, request, faults)
 
     def _record_request(self, request: Message) -> ReceivedRequest:
@@ -275,7 +307,7 @@
         attempt_id = request.headers.get("x-attempt-id", "")
         seal = f"{self.spec.name}.{attempt_id}"
         headers = {"X-Attempt-Id": attempt_id, "X-Response-Seal": seal}
-        headers |= make_limit_header(faults)
+        headers |= make_notice_headers(faults)
         body = make_body(self.spec.service, attempt_id)
         if self._should_inject(faults.error):
             sock.sendall(encode_message("HTTP/1.1 500 Failed", headers, body))
@@ -299,11 +331,16 @@
         return probability > 0 and self._rng.random() < probability
 
 
-def make_limit_header(faults: Faults) -> dict[str, str]:
-    """Return the header that names the limit of a back end, if it has one."""
-    if faults.rate_limit is None:
-        return {}
-    return {"Server-Limit": f"{faults.rate_limit:g}"}
+def make_notice_headers(faults: Faults) -> dict[str, str]:
+    """Return the headers in which a back end says something of itself."""
+    headers = {}
+    if faults.rate_limit is not None:
+        headers["Server-Limit"] = f"{faults.rate_limit:g}"
+    if faults.leaving:
+        headers["Server-Leaving"] = "1"
+    if faults.pause_s is not None:
+        headers["Retry-After"] = f"{faults.pause_s:g}"
+    return headers
 
 
 def make_body(service: str, attempt_id: str) -> bytes:
