Bound the memory of callers' bodies like that of replies

The request reader kept an object for each chunk of a body, and the parser collected the value of an endless trailer without a bound. Trailers became headers of the request to the target.

Change: BodyBuffer joins the parts for both readers; frames and trailers have the bound on framing that replies have, beyond the configured size of a head; trailers are dropped.

--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -73,6 +73,39 @@
             self.reader = RequestReader(CallerLimits(header_bytes=200, body_bytes=50))
             self.assertRaises(TooLargeError, self.read, head + rest)
 
+    @pytest.mark.proof(
+        promise="cut off",
+        failure="a caller's body has frames or trailers without end",
+    )
+    def test_endless_frames_and_trailers_are_refused(self):
+        # The value of a trailer was collected for as long as the caller sent it.
+        head = b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for start in (b"1;", b"1\r\na\r\n0\r\nA: ", b"1\r\na\r\n0\r\n"):
+            reader = RequestReader(CallerLimits(header_bytes=200, body_bytes=50))
+            reader.feed(head + start)
+            more = b"A: b\r\n" * 20 if start.endswith(b"\n") else b"x" * 120
+            with self.assertRaises(HeadersTooLargeError, msg=start):
+                for _ in range(100):
+                    reader.feed(more)
+
+    def test_a_body_in_small_chunks_takes_no_more_than_its_bytes(self):
+        limits = CallerLimits(header_bytes=200, body_bytes=10_000_000)
+        reader = RequestReader(limits)
+        reader.feed(b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(50):
+            reader.feed(b"2\r\nno\r\n" * 10_000)
+        current, _ = tracemalloc.get_traced_memory()
+        assert current < 2 * 50 * 20_000
+        reader.feed(b"0\r\n\r\n")
+        assert len(reader.requests[0][0].body) == 50 * 20_000
+
+    def test_trailers_are_not_headers(self):
+        head = b"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        request = self.read(head + b"1\r\na\r\n0\r\nX: y\r\n\r\n")[0]
+        assert [name for name, _ in request.headers] == [b"Host", b"Transfer-Encoding"]
+
     def test_malformed_requests_are_refused(self):
         for data in (
             b"\x00\x01",
--- a/packages/cassiastaird/cassiastaird/entry/request_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/request_reader.py
@@ -6,6 +6,7 @@
 from cassiastair.errors import CassiastairError, MalformedRequestError, TooLargeError
 from cassiastair.routing import CallerLimits
 
+from ..body_buffer import MAX_FRAMING_PER_BODY_BYTE, BodyBuffer
 from .http_message import HttpRequest
 
 
@@ -47,6 +48,7 @@
         self.in_body = False
         self.expects_continue = False
         self._parser = httptools.HttpRequestParser(self)
+        self._body = BodyBuffer()
         self._reset()
 
     def _reset(self) -> None:
@@ -54,8 +56,8 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_size = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body.clear()
+        self._received_in_body = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -66,7 +68,9 @@
             If the connection cannot be read further; requests that were complete
             before stay queued.
         """
-        if not self.in_body:
+        if self.in_body:
+            self._received_in_body += len(data)
+        else:
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
@@ -82,6 +86,10 @@
         if self.partial and not self.in_body:
             if self._head_size > self.limits.header_bytes + len(data):
                 raise HeadersTooLargeError("the head is larger than the limit")
+        framing = self._received_in_body - self._body.size
+        allowed = MAX_FRAMING_PER_BODY_BYTE * self._body.size + len(data)
+        if framing > self.limits.header_bytes + allowed:
+            raise HeadersTooLargeError("chunk frames and trailers exceed the limit")
 
     def on_message_begin(self) -> None:
         """Record that a request has begun."""
@@ -94,7 +102,9 @@
             raise HeadersTooLargeError("the request target is larger than the limit")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header and check the size of the head."""
+        """Append a header and check the size of the head; trailers are dropped."""
+        if self.in_body:
+            return
         self._headers.append((name, value))
         size = sum(len(n) + len(v) + 4 for n, v in self._headers)
         if size > self.limits.header_bytes:
@@ -114,8 +124,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body and check its size."""
         self._body.append(body)
-        self._body_size += len(body)
-        if self._body_size > self.limits.body_bytes:
+        if self._body.size > self.limits.body_bytes:
             raise TooLargeError("the body is larger than the limit")
 
     def on_message_complete(self) -> None:
@@ -124,7 +133,7 @@
             self._parser.get_method(),
             self._url,
             tuple(self._headers),
-            b"".join(self._body),
+            self._body.take(),
         )
         self.requests.append((request, self._parser.should_keep_alive()))
         self.partial = False
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -2,11 +2,11 @@
 
 import httptools
 
+from ..body_buffer import MAX_FRAMING_PER_BODY_BYTE, BodyBuffer
 from .reply_memory import ReplyMemory
 
 MAX_BODY_BYTES = 16_000_000
 MAX_HEAD_BYTES = 65_536  # status line, headers and trailers together
-MAX_FRAMING_PER_BODY_BYTE = 8  # chunks of a single byte have 5 bytes of framing
 
 
 class BadReplyError(OSError):
@@ -42,7 +42,6 @@
         "_parser",
         "_memory",
         "_body",
-        "_body_size",
         "_received",
         "_message_count",
     )
@@ -50,6 +49,7 @@
     def __init__(self, memory: ReplyMemory | None = None):
         self._parser = httptools.HttpResponseParser(self)
         self._memory = memory
+        self._body = BodyBuffer()
         self.reset()
 
     def reset(self) -> None:
@@ -57,20 +57,19 @@
         self.done = False
         self.keep_alive = True
         self.status = 0
-        self._body: bytes | bytearray = b""
-        self._body_size = 0
+        self._body.clear()
         self._received = 0
         self._message_count = 0
 
     def take_body(self) -> bytes:
         """Return the body of the reply and release its memory."""
-        body, self._body = self._body, b""
+        body = self._body.take()
         self.release_memory()
-        return bytes(body)
+        return body
 
     def release_memory(self) -> None:
         """Drop what was received, and its share in the account of all readers."""
-        self._body = b""
+        self._body.clear()
         if self._memory is not None:
             self._memory.release(self)
 
@@ -93,12 +92,13 @@
         self._received += len(data)
         if self.done:
             return
-        framing = self._received - self._body_size
-        if framing > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size:
+        body_size = self._body.size
+        framing = self._received - body_size
+        if framing > MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_size:
             raise BadReplyError(f"more than {MAX_HEAD_BYTES} bytes are not of a body")
-        if self._body_size > MAX_BODY_BYTES:
+        if body_size > MAX_BODY_BYTES:
             raise BadReplyError(f"the reply is larger than {MAX_BODY_BYTES} bytes")
-        if self._memory is not None and not self._memory.hold(self, self._body_size):
+        if self._memory is not None and not self._memory.hold(self, body_size):
             raise BadReplyError(
                 f"replies hold more than {self._memory.limit} bytes together"
             )
@@ -118,20 +118,9 @@
             self.status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body of the first reply.
-
-        The parts are joined at once: an object for each chunk of a few bytes would
-        take many times the memory of the body.
-        """
-        if self._message_count != 1:
-            return
-        if not self._body_size:
-            self._body = body
-        elif isinstance(self._body, bytearray):
-            self._body += body
-        else:
-            self._body = bytearray(self._body) + body
-        self._body_size += len(body)
+        """Keep a part of the body of the first reply."""
+        if self._message_count == 1:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Record that the reply is complete and whether the target closes after it."""
