Check once more before a send that the target takes requests

Why: read in the diff. A connection that takes up to half a second to open could be used after the target was retired or had named a time. A connection in use when its pool was retired went back into the pool that nobody uses any more, and stayed open.

Change: the transport looks again when it has the connection; a retired pool closes what returns to it. In the selection of readers two equal branches are one.

Evidence: a new test of the returned connection; those of the daemon, the adapter and the replication pass.

--- a/packages/cassiastair/cassiastair/membership/reader_selection.py
+++ b/packages/cassiastair/cassiastair/membership/reader_selection.py
@@ -110,16 +110,14 @@
         """Decide whether this VM reads now; return True if it does."""
         now = self._clock.now()
         active = self._find_active(now)
-        if self.reading and self._is_isolated(now):
+        if self._is_isolated(now):
+            self.reading = True
             return True
         if self.reading:
             order = self._rank([*active, self._own])
             self.reading = order.index(self._own) < WANTED_READERS
             self._missing_since = None
             return self.reading
-        if self._is_isolated(now):
-            self.reading = True
-            return True
         if len(active) >= WANTED_READERS:
             self._missing_since = None
             return False
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -86,6 +86,9 @@
         """Send a request on a pooled connection and return the reply."""
         pool = self._get_pool(target)
         connection = self._acquire_connection(pool, at_most_once, request.attempt_id)
+        if not pool.takes_requests:  # any more, after the connection was opened
+            pool.release(connection)
+            raise ConnectFailure("the target gets no requests now")
         sent_at = self._clock.now()
         time_left = deadline - sent_at
         if time_left < MIN_TIME_LEFT_S:
--- a/packages/cassiastaird/cassiastaird/targets/pool.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool.py
@@ -75,6 +75,11 @@
         """Whether a connection can be taken without waiting for another task."""
         return self._limiter.in_progress < self._limit.current
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the target gets requests now."""
+        return self._clock.now() >= self._refuses_until
+
     def acquire(self, check_open: bool = False, attempt: str = "") -> TargetConnection:
         """Return an idle or new connection, after waiting for a place within the limit.
 
@@ -95,7 +100,7 @@
         """
         self._limiter.acquire()
         try:
-            if self._clock.now() < self._refuses_until:
+            if not self.takes_requests:
                 raise ConnectionAbortedError("the target gets no requests now")
             while (connection := self._pop_idle(attempt)) is not None:
                 if not self._is_expired(connection) and not connection.is_dropped(
@@ -128,7 +133,9 @@
         """Return a connection to the pool after its reply was received completely."""
         connection.answered_at = self._clock.now()
         self._limiter.release()
-        if self.size < self._limit.current and connection.reusable:
+        is_retired = self._refuses_until == float("inf")
+        has_place = self.size < self._limit.current and not is_retired
+        if has_place and connection.reusable:
             self._idle.append(connection)
         else:
             connection.close()
--- a/packages/cassiastaird/cassiastaird/targets/pool_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/pool_test.py
@@ -25,19 +25,23 @@
 class TestConnectionPool(TestCase):
     """Idle connections with unrequested bytes, and retired targets."""
 
+    def make_pool(self) -> ConnectionPool:
+        """Return a pool of one connection to a listener of the test."""
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        port = self.listener.getsockname()[1]
+        target = RoutedTarget("t", "s", "127.0.0.1", port, "z", 2, False, 0.0, 0)
+        return ConnectionPool(target, OneConnection(), ManualClock())
+
     @pytest.mark.proof(
         promise="own answer",
         failure="bytes without end come on an idle connection",
     )
     def test_an_idle_connection_is_closed_when_bytes_arrive(self):
         # The bytes stayed in the socket's buffer until the connection was needed.
-        listener = eventlet.listen(("127.0.0.1", 0))
-        self.addCleanup(listener.close)
-        port = listener.getsockname()[1]
-        target = RoutedTarget("t", "s", "127.0.0.1", port, "z", 2, False, 0.0, 0)
-        pool = ConnectionPool(target, OneConnection(), ManualClock())
+        pool = self.make_pool()
         pool.release(pool.acquire())
-        sock, _ = listener.accept()
+        sock, _ = self.listener.accept()
         sock.settimeout(5.0)
         sock.sendall(b"HTTP/1.1 200 OK\r\n")
         try:
@@ -53,11 +57,7 @@
         failure="routes: a request waits for a connection while the target leaves",
     )
     def test_a_request_that_waits_gets_no_connection_to_a_retired_target(self):
-        listener = eventlet.listen(("127.0.0.1", 0))
-        self.addCleanup(listener.close)
-        port = listener.getsockname()[1]
-        target = RoutedTarget("t", "s", "127.0.0.1", port, "z", 2, False, 0.0, 0)
-        pool = ConnectionPool(target, OneConnection(), ManualClock())
+        pool = self.make_pool()
         connection = pool.acquire()
         waiting = eventlet.spawn(pool.acquire)
         eventlet.sleep(0)
@@ -65,3 +65,11 @@
         pool.release(connection)
         self.assertRaises(OSError, waiting.wait)
         assert pool.size == 0
+
+    def test_a_connection_in_use_is_closed_when_it_returns_to_a_retired_pool(self):
+        pool = self.make_pool()
+        connection = pool.acquire()
+        pool.retire()
+        pool.release(connection)
+        assert pool.size == 0
+        assert not pool.takes_requests
