Log how a process ends

The hypotheses of the incident could not be told apart from logs: a process that could not start printed plain text or a traceback, one that an error ended printed a traceback without a time. The last line is now 'process ended' with status and cause, for every end that the program decides; it is written above the rate limit and waits 0.2 s for the reader of a full pipe. An end without that line was caused from outside (a kill, a signal before the handlers, the memory limit). Statuses 0 and 2 to 4 are as before; an unexpected error now has status 5.

--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -84,6 +84,8 @@
         Decodes the items of the platform's store.
     make_store_client : callable
         Returns a client of the store, given its host and port.
+    log : EventLog
+        Log of the process.
     replace_part : callable
         Returns the class to build instead of a part's class, see `ablation`.
     """
@@ -94,13 +96,14 @@
         codec: HttpCodec,
         decoder: ItemDecoder,
         make_store_client,
+        log: EventLog,
         replace_part: Callable[[type], type] = lambda part: part,
     ):
         self.settings = settings
         self._replace_part = replace_part
         self._rng = random.Random()
         self._clock = BootClock()
-        self.log = EventLog(settings.vm, self._clock)
+        self.log = log
         self.drain = Drain()
         self.stats = RequestStats()
         self.pauses = PauseDetector(self._clock)
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -536,6 +536,25 @@
             self.clock.advance(1.0)
         assert self.log.dropped > 0
 
+    def test_the_last_line_is_written_above_the_rate_limit(self):
+        for number in range(MAX_BURST_LINES + 50):
+            self.log.warn("not served", f"r{number}")
+            if number % 50 == 0:
+                self.read()
+        self.read()
+        self.log.warn_last("process ended", status=3, cause="no port")
+        (line,) = self.read()
+        assert (line["event"], line["status"]) == ("process ended", 3)
+
+    def test_the_last_line_is_given_up_when_nobody_reads(self):
+        for _ in range(400):
+            self.log.warn("not served", "r", reason="x" * 200)
+            self.clock.advance(1.0)
+        self.log.warn_last("process ended", status=0, cause="stop requested")
+        os.close(self.read_end)
+        self.read_end = os.dup(self.log._fd)
+        self.log.warn_last("process ended", status=0, cause="stop requested")
+
 
 class TestErrors(TestCase):
     """Outcomes that errors report to callers."""
--- a/packages/cassiastaird/cassiastaird/entry/event_log.py
+++ b/packages/cassiastaird/cassiastaird/entry/event_log.py
@@ -11,10 +11,13 @@
 from eventlet import patcher
 
 os = patcher.original("os")  # eventlet's own write would wait while the pipe is full
+blocking_time = patcher.original("time")  # also usable without the event loop
 
 SAMPLING_DIVISOR = 32  # one request in this many has its lines written
 MAX_LINES_PER_S = 200  # about 50 KB per second
 MAX_BURST_LINES = 400  # lines that may be written at once
+LAST_LINE_TIMEOUT_S = 0.2  # time for the reader of the pipe to make room
+LAST_LINE_POLL_S = 0.01
 
 
 class EventLog(DecisionLog):
@@ -27,13 +30,13 @@
     Parameters
     ----------
     vm : str
-        Name of the VM.
+        Name of the VM; empty while it is not known.
     clock : Clock
         Source of time.
     """
 
     def __init__(self, vm: str, clock: Clock):
-        self._vm = vm
+        self.vm = vm
         self._clock = clock
         self._fd = sys.stdout.fileno()
         os.set_blocking(self._fd, False)
@@ -67,13 +70,34 @@
             self.dropped += 1
             return
         self._tokens -= 1.0
-        line = {"time": round(time.time(), 3), "vm": self._vm, "event": event}
+        self._emit(self._encode(event, request, fields))
+
+    def _encode(self, event: str, request: str, fields: dict) -> bytes:
+        """Return the line of an event."""
+        line = {"time": round(time.time(), 3), "vm": self.vm, "event": event}
         if request:
             line["request"] = request
         line.update(fields)
         if self.dropped:
             line["dropped"] = self.dropped
-        self._emit(orjson.dumps(line, default=str) + b"\n")
+        return orjson.dumps(line, default=str) + b"\n"
+
+    def warn_last(self, event: str, **fields: object) -> None:
+        """Log the event that ends the process, whatever the rate limit.
+
+        Waits for a short time while the pipe is full. The event loop need not run.
+        """
+        if fields.pop("trace", False):
+            fields["trace"] = traceback.format_exc(limit=-6)
+        line = self._unsent + self._encode(event, "", fields)
+        deadline = blocking_time.monotonic() + LAST_LINE_TIMEOUT_S
+        while line and blocking_time.monotonic() < deadline:
+            try:
+                line = line[os.write(self._fd, line) :]
+            except BlockingIOError:
+                blocking_time.sleep(LAST_LINE_POLL_S)
+            except OSError:
+                return  # the reading end is closed
 
     def _emit(self, line: bytes) -> None:
         """Write a line without blocking.
--- a/packages/cassiastaird/cassiastaird/entry/logs_page_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/logs_page_test.py
@@ -12,7 +12,9 @@
     "packages/cassiastaird/cassiastaird/entry",
     "packages/cassiastaird/cassiastaird/peers",
 )
-LOG_CALL = re.compile(r'(?:warn|record_sampled|note|log_event|_log)\(\s*"([a-z ]+)"')
+LOG_CALL = re.compile(
+    r'(?:warn|warn_last|record_sampled|note|log_event|_log)\(\s*"([a-z ]+)"'
+)
 
 
 class TestLogsPage(TestCase):
--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -20,14 +20,17 @@
 from eventlet.event import Event  # noqa: E402
 
 from .ablation import read_replacements  # noqa: E402
+from .boot_clock import BootClock  # noqa: E402
 from .entry_daemon import EntryDaemon  # noqa: E402
 from .entry_settings import EntrySettings  # noqa: E402
+from .event_log import EventLog  # noqa: E402
 from .http_codec import HttpCodec  # noqa: E402
 from .item_decoder import ItemDecoder  # noqa: E402
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NO_PORT = 3
 EXIT_HARD_STOP = 4
+EXIT_UNEXPECTED_ERROR = 5
 
 
 def run_entry_daemon(
@@ -51,20 +54,86 @@
     make_store_client : callable
         Returns a client of the store, given its host and port.
     """
+    if "--check" in sys.argv[1:]:
+        check_settings(read_settings)
+        return
+    log = EventLog("", BootClock())
     try:
-        settings = read_settings()
-        replace_part = read_replacements(os.environ)
+        status, cause = run_until_stopped(
+            read_settings, codec, decoder, make_store_client, log
+        )
+    except StartError as error:
+        log.warn_last("process ended", status=error.status, cause=str(error))
+        os._exit(error.status)
+    except BaseException as error:
+        log.warn_last(
+            "process ended", status=EXIT_UNEXPECTED_ERROR, cause=repr(error), trace=True
+        )
+        os._exit(EXIT_UNEXPECTED_ERROR)
+    log.warn_last("process ended", status=status, cause=cause)
+    os._exit(status)  # the other tasks never end
+
+
+class StartError(Exception):
+    """The daemon cannot start.
+
+    Parameters
+    ----------
+    cause : str
+        Cause and remedy.
+    status : int
+        Exit status of the process.
+    """
+
+    def __init__(self, cause: str, status: int):
+        super().__init__(cause)
+        self.status = status
+
+
+def check_settings(read_settings: Callable[[], EntrySettings]) -> None:
+    """Print whether the settings are valid; exit the process if they are not."""
+    try:
+        read_settings()
+        read_replacements(os.environ)
     except SettingsError as error:
         print(f"settings are wrong; {error.remedy}:\n{error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    if "--check" in sys.argv[1:]:
-        print("settings are right")
-        return
+    print("settings are right")
+
+
+def run_until_stopped(
+    read_settings: Callable[[], EntrySettings],
+    codec: HttpCodec,
+    decoder: ItemDecoder,
+    make_store_client,
+    log: EventLog,
+) -> tuple[int, str]:
+    """Run the daemon until a signal stops it; see `run_entry_daemon`.
+
+    Returns
+    -------
+    (int, str)
+        Exit status of the process and the cause of its end.
+
+    Raises
+    ------
+    StartError
+        If the settings are invalid or a port cannot be opened.
+    """
+    try:
+        settings = read_settings()
+        replace_part = read_replacements(os.environ)
+    except SettingsError as error:
+        cause = f"settings are wrong; {error.remedy}: {error}"
+        raise StartError(cause, EXIT_BAD_SETTINGS) from error
+    log.vm = settings.vm
     try:
-        daemon = EntryDaemon(settings, codec, decoder, make_store_client, replace_part)
+        daemon = EntryDaemon(
+            settings, codec, decoder, make_store_client, log, replace_part
+        )
     except OSError as error:
-        print(f"cannot listen; choose free ports: {error}", file=sys.stderr)
-        sys.exit(EXIT_NO_PORT)
+        cause = f"cannot listen; choose free ports: {error}"
+        raise StartError(cause, EXIT_NO_PORT) from error
     stop_requested = Event()
 
     def request_stop(number, frame) -> None:
@@ -81,8 +150,9 @@
     signal.signal(signal.SIGHUP, reload)
     daemon.start()
     stop_requested.wait()
-    all_finished = daemon.stop()
-    os._exit(0 if all_finished else EXIT_HARD_STOP)  # the other tasks never end
+    if daemon.stop():
+        return 0, "stop requested"
+    return EXIT_HARD_STOP, "stop requested; requests were answered unfinished"
 
 
 def send_once(event: Event) -> None:
