Hold signals from the first instructions of a start

Callers saw a VM go away: a SIGHUP (settings change) or SIGTERM in the first 0.5 s of a start ended the process with the default action of the signal (-1, -15), a SIGINT raised KeyboardInterrupt inside an import (once a segmentation fault). Cause: handlers were set after the imports, the settings and the listeners. SignalInbox receives the signals before the other imports and hands them to the handlers once these are set: SIGHUP is followed by a reload after the start, SIGTERM and SIGINT by a clean end with status 0.

--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -19,6 +19,7 @@
 from cassiastair.errors import SettingsError  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
+from ..signal_inbox import SignalInbox  # noqa: E402
 from .ablation import read_replacements  # noqa: E402
 from .boot_clock import BootClock  # noqa: E402
 from .entry_daemon import EntryDaemon  # noqa: E402
@@ -34,6 +35,7 @@
 
 
 def run_entry_daemon(
+    signals: SignalInbox,
     read_settings: Callable[[], EntrySettings],
     codec: HttpCodec,
     decoder: ItemDecoder,
@@ -45,6 +47,8 @@
 
     Parameters
     ----------
+    signals : SignalInbox
+        Holds the signals received so far.
     read_settings : callable
         Returns the validated settings; raises SettingsError if they are invalid.
     codec : HttpCodec
@@ -60,7 +64,7 @@
     log = EventLog("", BootClock())
     try:
         status, cause = run_until_stopped(
-            read_settings, codec, decoder, make_store_client, log
+            signals, read_settings, codec, decoder, make_store_client, log
         )
     except StartError as error:
         log.warn_last("process ended", status=error.status, cause=str(error))
@@ -102,6 +106,7 @@
 
 
 def run_until_stopped(
+    signals: SignalInbox,
     read_settings: Callable[[], EntrySettings],
     codec: HttpCodec,
     decoder: ItemDecoder,
@@ -120,6 +125,15 @@
     StartError
         If the settings are invalid or a port cannot be opened.
     """
+    stop_requested = Event()
+
+    def request_stop() -> None:
+        """Request a stop; further signals have no effect."""
+        if not stop_requested.ready():
+            eventlet.spawn_n(send_once, stop_requested)
+
+    signals.set_handler(signal.SIGTERM, request_stop)
+    signals.set_handler(signal.SIGINT, request_stop)
     try:
         settings = read_settings()
         replace_part = read_replacements(os.environ)
@@ -134,21 +148,13 @@
     except OSError as error:
         cause = f"cannot listen; choose free ports: {error}"
         raise StartError(cause, EXIT_NO_PORT) from error
-    stop_requested = Event()
-
-    def request_stop(number, frame) -> None:
-        """Request a stop; further signals have no effect."""
-        if not stop_requested.ready():
-            eventlet.spawn_n(send_once, stop_requested)
-
-    def reload(number, frame) -> None:
-        """Have the daemon read the settings again."""
-        eventlet.spawn_n(daemon.reload, read_settings)
-
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
-    signal.signal(signal.SIGHUP, reload)
+    eventlet.sleep(0)  # lets a stop signal of the start take effect
+    if stop_requested.ready():
+        return 0, "stop requested during the start"
     daemon.start()
+    signals.set_handler(
+        signal.SIGHUP, lambda: eventlet.spawn_n(daemon.reload, read_settings)
+    )
     stop_requested.wait()
     if daemon.stop():
         return 0, "stop requested"
