Wait for the ports of a draining predecessor

Callers saw a VM gone for good: a process that was started while its predecessor drained ended with status 3, since the peer port was in use, and after the predecessor's end nothing served there. Before that it had opened the other three listeners with SO_REUSEPORT, eventlet's default, so that the kernel gave it a part of the callers' connections and of the readiness checks, which its end then reset.

Cause: a start took a port in use as a mistake in the settings. PortWaiter waits for it, up to the stop grace, after which the predecessor has ended, and 2 s; a port that is still in use then ends the process as before. Listeners no longer share their ports, and the peer port, which a predecessor holds to its end, is opened first, so that no caller's connection waits in a backlog that nobody serves. A stop signal ends the wait.

The events of the package's top folder are now compared with the page on logs, too.

--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -43,6 +43,7 @@
 from ..heap_freezer import HeapFreezer
 from ..peers import LinkManager, PeerServer
 from ..peers.call_forwarder import CallForwarder
+from ..port_waiter import PortWaiter
 from ..targets.reply_memory import ReplyMemory
 from .boot_clock import BootClock
 from .caller_server import CallerServer
@@ -86,8 +87,15 @@
         Returns a client of the store, given its host and port.
     log : EventLog
         Log of the process.
+    ports : PortWaiter
+        Opens the listeners.
     replace_part : callable
         Returns the class to build instead of a part's class, see `ablation`.
+
+    Raises
+    ------
+    OSError
+        If a port cannot be opened.
     """
 
     def __init__(
@@ -97,6 +105,7 @@
         decoder: ItemDecoder,
         make_store_client,
         log: EventLog,
+        ports: PortWaiter,
         replace_part: Callable[[type], type] = lambda part: part,
     ):
         self.settings = settings
@@ -113,15 +122,12 @@
         self.own = self._make_own_vm()
         self._wire_forwarding(codec)
         self._wire_replication(decoder, make_store_client(*settings.store_address))
-        self._listeners = [
-            eventlet.listen(address, backlog=BACKLOG)
-            for address in (
-                settings.caller_address,
-                settings.ready_address,
-                (settings.host, METRICS_PORT),
-            )
-        ]
-        self._peer_server = PeerServer(*settings.peer_address)
+        # The peer port comes first: a previous process holds it to its end, but closes
+        # the listener for callers earlier, whom nobody would serve here meanwhile.
+        self._peer_server = ports.open(PeerServer, *settings.peer_address)
+        self._ready_listener = ports.open(listen, *settings.ready_address)
+        self._metrics_listener = ports.open(listen, settings.host, METRICS_PORT)
+        self._caller_listener = ports.open(listen, *settings.caller_address)
 
     def _make_own_vm(self) -> Vm:
         """Return the description of this VM, with a new incarnation."""
@@ -312,13 +318,12 @@
 
     def start(self) -> None:
         """Start all tasks and return at once."""
-        callers, readiness, metrics = self._listeners
         self._peer_server.start(self.node, self.forwarder)
         ready = ReadinessServer(self.is_ready, self._make_metrics().render)
         for task, *args in (
-            (self.server.run, callers),
-            (ready.run, readiness),
-            (ready.run, metrics),
+            (self.server.run, self._caller_listener),
+            (ready.run, self._ready_listener),
+            (ready.run, self._metrics_listener),
             (self.link_manager.run,),
             (self.reader.run, self._may_wait_for_peers()),
             (self.prober.run,),
@@ -445,6 +450,11 @@
         return all_finished
 
 
+def listen(host: str, port: int):
+    """Return a listener that shares its port with no other process."""
+    return eventlet.listen((host, port), backlog=BACKLOG, reuse_port=False)
+
+
 def refuse_call(call) -> tuple[int, dict]:
     """Answer 404 to a call; VMs that forward by routes accept no forwarded writes."""
     return 404, {}
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -551,8 +551,7 @@
             self.log.warn("not served", "r", reason="x" * 200)
             self.clock.advance(1.0)
         self.log.warn_last("process ended", status=0, cause="stop requested")
-        os.close(self.read_end)
-        self.read_end = os.dup(self.log._fd)
+        os.dup2(self.log._fd, self.read_end)  # closes the only reading end
         self.log.warn_last("process ended", status=0, cause="stop requested")
 
 
--- a/packages/cassiastaird/cassiastaird/entry/logs_page_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/logs_page_test.py
@@ -9,6 +9,7 @@
 FOLDERS = (
     "packages/cassiastair/cassiastair/forwarding",
     "packages/cassiastair/cassiastair/replication",
+    "packages/cassiastaird/cassiastaird",
     "packages/cassiastaird/cassiastaird/entry",
     "packages/cassiastaird/cassiastaird/peers",
 )
--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -19,6 +19,7 @@
 from cassiastair.errors import SettingsError  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
+from ..port_waiter import PortWaiter  # noqa: E402
 from ..signal_inbox import SignalInbox  # noqa: E402
 from .ablation import read_replacements  # noqa: E402
 from .boot_clock import BootClock  # noqa: E402
@@ -32,6 +33,7 @@
 EXIT_NO_PORT = 3
 EXIT_HARD_STOP = 4
 EXIT_UNEXPECTED_ERROR = 5
+PORT_WAIT_MARGIN_S = 2.0  # beyond the stop grace of a previous process
 
 
 def run_entry_daemon(
@@ -66,6 +68,8 @@
         status, cause = run_until_stopped(
             signals, read_settings, codec, decoder, make_store_client, log
         )
+    except StopDuringStart:
+        status, cause = 0, "stop requested during the start"
     except StartError as error:
         log.warn_last("process ended", status=error.status, cause=str(error))
         os._exit(error.status)
@@ -78,6 +82,10 @@
     os._exit(status)  # the other tasks never end
 
 
+class StopDuringStart(Exception):
+    """A stop was requested before the daemon was ready to run."""
+
+
 class StartError(Exception):
     """The daemon cannot start.
 
@@ -124,6 +132,8 @@
     ------
     StartError
         If the settings are invalid or a port cannot be opened.
+    StopDuringStart
+        If a stop is requested before the daemon runs.
     """
     stop_requested = Event()
 
@@ -141,16 +151,28 @@
         cause = f"settings are wrong; {error.remedy}: {error}"
         raise StartError(cause, EXIT_BAD_SETTINGS) from error
     log.vm = settings.vm
+    clock = BootClock()
+
+    def sleep(seconds: float) -> None:
+        """Wait during the start; raise StopDuringStart after a stop signal."""
+        eventlet.sleep(seconds)
+        if stop_requested.ready():
+            raise StopDuringStart
+
+    ports = PortWaiter(
+        clock,
+        sleep,
+        settings.stop_grace_s + PORT_WAIT_MARGIN_S,
+        lambda event, **fields: log.warn(event, "", **fields),
+    )
     try:
         daemon = EntryDaemon(
-            settings, codec, decoder, make_store_client, log, replace_part
+            settings, codec, decoder, make_store_client, log, ports, replace_part
         )
     except OSError as error:
         cause = f"cannot listen; choose free ports: {error}"
         raise StartError(cause, EXIT_NO_PORT) from error
-    eventlet.sleep(0)  # lets a stop signal of the start take effect
-    if stop_requested.ready():
-        return 0, "stop requested during the start"
+    sleep(0)
     daemon.start()
     signals.set_handler(
         signal.SIGHUP, lambda: eventlet.spawn_n(daemon.reload, read_settings)
