--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -16,7 +16,9 @@
 import sys  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 
+from cassiastair.clock import Clock  # noqa: E402
 from cassiastair.errors import SettingsError  # noqa: E402
+from cassiastair.forwarding import DecisionLog  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
 from ..port_waiter import PortWaiter  # noqa: E402
@@ -33,6 +35,8 @@
 EXIT_NO_PORT = 3
 EXIT_HARD_STOP = 4
 EXIT_UNEXPECTED_ERROR = 5
+SETTINGS_TIMEOUT_S = 5.0  # for a settings file that is being written
+SETTINGS_POLL_S = 0.1
 PORT_WAIT_MARGIN_S = 2.0  # beyond the stop grace of a previous process
 
 
@@ -144,13 +148,6 @@
 
     signals.set_handler(signal.SIGTERM, request_stop)
     signals.set_handler(signal.SIGINT, request_stop)
-    try:
-        settings = read_settings()
-        replace_part = read_replacements(os.environ)
-    except SettingsError as error:
-        cause = f"settings are wrong; {error.remedy}: {error}"
-        raise StartError(cause, EXIT_BAD_SETTINGS) from error
-    log.vm = settings.vm
     clock = BootClock()
 
     def sleep(seconds: float) -> None:
@@ -159,6 +156,13 @@
         if stop_requested.ready():
             raise StopDuringStart
 
+    try:
+        replace_part = read_replacements(os.environ)
+        settings = wait_for_settings(read_settings, clock, sleep, log)
+    except SettingsError as error:
+        cause = f"settings are wrong; {error.remedy}: {error}"
+        raise StartError(cause, EXIT_BAD_SETTINGS) from error
+    log.vm = settings.vm
     ports = PortWaiter(
         clock,
         sleep,
@@ -183,6 +187,33 @@
     return EXIT_HARD_STOP, "stop requested; requests were answered unfinished"
 
 
+def wait_for_settings(
+    read_settings: Callable[[], EntrySettings],
+    clock: Clock,
+    sleep: Callable[[float], None],
+    log: DecisionLog,
+) -> EntrySettings:
+    """Return the settings once they are valid; they may be written during the start.
+
+    Raises
+    ------
+    SettingsError
+        If they are still invalid after SETTINGS_TIMEOUT_S.
+    """
+    deadline = clock.now() + SETTINGS_TIMEOUT_S
+    is_first = True
+    while True:
+        try:
+            return read_settings()
+        except SettingsError as error:
+            if clock.now() >= deadline:
+                raise
+            if is_first:
+                log.warn("settings not usable yet", "", reason=error.message[:500])
+            is_first = False
+        sleep(SETTINGS_POLL_S)
+
+
 def send_once(event: Event) -> None:
     """Send an event unless it has been sent already."""
     if not event.ready():
