Keep the event loop alive when standard error has no reader

Callers saw their connections reset: a process whose output went to a closed pipe (the log collector had gone) ended with status 1 as soon as any task failed with an error outside its own handling. Cause: eventlet's loop prints such tracebacks to standard error; the print raises BrokenPipeError (BlockingIOError where the pipe is full, since standard output shares it and does not block), which ends the loop, and the main task with it.

Standard error is now a stream that passes texts to the event log, which never fails ('error output'), and an error that ends the loop all the same is logged and the loop runs again ('event loop ended'), at most ten times in the life of a process.

--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -21,6 +21,7 @@
 from cassiastair.forwarding import DecisionLog  # noqa: E402
 from eventlet.event import Event  # noqa: E402
 
+from ..error_stream import ErrorStream  # noqa: E402
 from ..port_waiter import PortWaiter  # noqa: E402
 from ..signal_inbox import SignalInbox  # noqa: E402
 from .ablation import read_replacements  # noqa: E402
@@ -37,6 +38,7 @@
 EXIT_UNEXPECTED_ERROR = 5
 SETTINGS_TIMEOUT_S = 5.0  # for a settings file that is being written
 SETTINGS_POLL_S = 0.1
+MAX_LOOP_ERRORS = 10  # in the life of a process
 PORT_WAIT_MARGIN_S = 2.0  # beyond the stop grace of a previous process
 
 
@@ -68,6 +70,7 @@
         check_settings(read_settings)
         return
     log = EventLog("", BootClock())
+    sys.stderr = ErrorStream(lambda text: log.warn("error output", "", text=text))
     try:
         status, cause = run_until_stopped(
             signals, read_settings, codec, decoder, make_store_client, log
@@ -181,7 +184,7 @@
     signals.set_handler(
         signal.SIGHUP, lambda: eventlet.spawn_n(daemon.reload, read_settings)
     )
-    stop_requested.wait()
+    wait_for_event(stop_requested, log)
     if daemon.stop():
         return 0, "stop requested"
     return EXIT_HARD_STOP, "stop requested; requests were answered unfinished"
@@ -214,6 +217,29 @@
         sleep(SETTINGS_POLL_S)
 
 
+def wait_for_event(event: Event, log: DecisionLog) -> None:
+    """Wait for an event; let the event loop run again if an error ends it.
+
+    The loop ends with an error of its own, not with one of a task, and starts again
+    with the next wait.
+
+    Raises
+    ------
+    Exception
+        The error that ends the loop for the MAX_LOOP_ERRORS-th time.
+    """
+    error_count = 0
+    while True:
+        try:
+            event.wait()
+            return
+        except Exception as error:
+            log.warn("event loop ended", "", reason=repr(error), trace=True)
+            error_count += 1
+            if error_count == MAX_LOOP_ERRORS:
+                raise
+
+
 def send_once(event: Event) -> None:
     """Send an event unless it has been sent already."""
     if not event.ready():
