Keep accepting peers after a failed accept; restart tasks of both daemons

The loop is our own now and logs 'accept failed'.

In the daemon of the project's own protocol a task that an error ended was logged but not started again. Both daemons share run_supervised now.

--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from functools import partial
 
 import eventlet
 from cassiastair.admission import AdaptiveAdmission, UnlimitedAdmission
@@ -45,6 +46,7 @@
 from .status import Status
 from .target_monitor import TargetMonitor
 from .targets import HttpTargetClient
+from .tasks import run_supervised
 from .ticket_source import HttpPlatformSource
 from .trace_store import TraceStore
 
@@ -272,8 +274,9 @@
 
     def start(self) -> None:
         """Start the background tasks and return at once."""
-        self._peer_server.start(self.node, self.forwarder)
+        self._peer_server.attach(self.node, self.forwarder)
         for task in (
+            self._peer_server.run,
             self.link_manager.run,
             self.reader.run,
             self.target_monitor.run,
@@ -281,7 +284,7 @@
             self._freeze_heap,
             self._serve_api,
         ):
-            eventlet.spawn(run_task, task)
+            eventlet.spawn_n(partial(run_supervised, task, report=log_task_end))
 
     def _serve_api(self) -> None:
         """Serve the HTTP interface."""
@@ -333,10 +336,6 @@
         return all_ended
 
 
-def run_task(task) -> None:
-    """Run a background task; log the exception that ends it and raise it again."""
-    try:
-        task()
-    except Exception:
-        logger.exception("a task of the daemon ended", task=task.__qualname__)
-        raise
+def log_task_end(task: str, error: Exception) -> None:
+    """Log an error that ended a task."""
+    logger.opt(exception=error).error("a task of the daemon ended", task=task)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -45,6 +45,7 @@
 from ..peers.call_forwarder import CallForwarder
 from ..port_waiter import PortWaiter
 from ..targets.reply_memory import ReplyMemory
+from ..tasks import run_supervised
 from .boot_clock import BootClock
 from .caller_server import CallerServer
 from .entry_settings import EntrySettings
@@ -66,7 +67,6 @@
 CROSS_DEGREE = 2  # links to other data centres, which form one ring
 ACCEPTING_SHARE = 0.5  # share of the stop grace for which connections are accepted
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
-TASK_RESTART_S = 0.5  # pause before a task that an error ended is started again
 REPLY_SHARE = 0.2  # of the memory, for replies that are being received
 STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are ended
 FINAL_ANSWERS_S = 0.1  # time to write the answers of requests that are ended
@@ -318,12 +318,13 @@
 
     def start(self) -> None:
         """Start all tasks and return at once."""
-        self._peer_server.start(self.node, self.forwarder)
+        self._peer_server.attach(self.node, self.forwarder)
         ready = ReadinessServer(self.is_ready, self._make_metrics().render)
         for task, *args in (
             (self.server.run, self._caller_listener),
             (ready.run, self._ready_listener),
             (ready.run, self._metrics_listener),
+            (self._peer_server.run,),
             (self.link_manager.run,),
             (self.reader.run, self._may_wait_for_peers()),
             (self.prober.run,),
@@ -342,23 +343,12 @@
         return bool(peers) and self.settings.peer_address not in peers
 
     def _run_task(self, task, *args) -> None:
-        """Run a task that must not end; log an exception that ends it and restart it.
+        """Run a task that must not end; log the errors that end it."""
 
-        Without the restart, one unexpected error would leave the VM without, for
-        example, any further change of the store, although it still serves callers.
-        """
-        while True:
-            try:
-                return task(*args)
-            except Exception as error:
-                self.log.warn(
-                    "task ended",
-                    "",
-                    task=task.__qualname__,
-                    reason=repr(error),
-                    trace=True,
-                )
-            eventlet.sleep(TASK_RESTART_S)
+        def report(name: str, error: Exception) -> None:
+            self.log.warn("task ended", "", task=name, reason=repr(error), trace=True)
+
+        run_supervised(task, *args, report=report)
 
     def _run_maintenance(self) -> None:
         """Remove expired state, freeze the heap and detect pauses at intervals."""
--- a/packages/cassiastaird/cassiastaird/peers/server.py
+++ b/packages/cassiastaird/cassiastaird/peers/server.py
@@ -12,6 +12,8 @@
 
 logging.getLogger("websockets").setLevel(logging.CRITICAL)
 
+ACCEPT_RETRY_S = 0.05  # pause after a failed accept
+
 
 class PeerServer:
     """Listens for peers and runs each link in the task of its connection.
@@ -38,16 +40,26 @@
         )
         self.port = self._server.socket.getsockname()[1]
 
-    def start(self, node: MeshNode, forwarder: CallForwarder) -> None:
-        """Start accepting links."""
+    def attach(self, node: MeshNode, forwarder: CallForwarder) -> None:
+        """Set the parts that handle the messages of peers; called before `run`."""
         self._node = node
         self._forwarder = forwarder
-        eventlet.spawn_n(self._server.serve_forever)
+
+    def run(self) -> None:
+        """Accept links for as long as the process runs.
+
+        The loop of the library ends with the first error of an accept, for example
+        when the process is out of file descriptors for a moment.
+        """
+        while True:
+            try:
+                sock, address = self._server.socket.accept()
+            except OSError as error:
+                self._node.log_event("accept failed", reason=repr(error))
+                eventlet.sleep(ACCEPT_RETRY_S)
+                continue
+            eventlet.spawn_n(self._server.handler, sock, address)
 
     def _run_link(self, websocket) -> None:
         """Run the link of one accepted connection until it closes."""
         WebsocketLink(websocket, self._node, self._forwarder).run()
-
-    def close(self) -> None:
-        """Stop accepting links."""
-        self._server.shutdown()
--- a/standins/slopes/links.py
+++ b/standins/slopes/links.py
@@ -51,7 +51,8 @@
     )
     forwarder = CallForwarder(lambda call: (500, {}))
     link_manager = LinkManager(node, forwarder, [], degree, 2, clock)
-    server.start(node, forwarder)
+    server.attach(node, forwarder)
+    eventlet.spawn_n(server.run)
     return LinkedNode(node, server, link_manager)
 
 
