Give the daemon of the own protocol the same start and end

The same causes stood in the other daemon: no handler for SIGHUP, whose default action ended the process at any time; handlers for SIGTERM and SIGINT only after the imports and listeners; a port in use ended the start; a print to closed standard error ended the event loop. It uses SignalInbox, PortWaiter, ErrorStream and wait_for_event now. SIGHUP is logged and changes nothing, since its settings are flags and variables. The console script and 'python -m cassiastaird' start in __main__, which receives signals first.

The two tests of TestSignals cover this; they start the new entry point, which did not exist there.

--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -41,6 +41,7 @@
 from .metrics import Metrics
 from .peers import LinkManager, PeerServer
 from .platform_entry_applier import PlatformEntryApplier
+from .port_waiter import PortWaiter
 from .protocol import ApiProtocol
 from .settings import Settings, parse_peers
 from .status import Status
@@ -69,6 +70,8 @@
     ----------
     settings : Settings
         Validated settings.
+    ports : PortWaiter
+        Opens the listeners.
 
     Raises
     ------
@@ -76,14 +79,12 @@
         If the daemon cannot listen on a port.
     """
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, ports: PortWaiter):
         self._settings = settings
         self._rng = random.Random()
         self._clock = MonotonicClock()
-        self._api_socket = eventlet.listen(
-            (settings.host, settings.api_port), backlog=LISTEN_BACKLOG
-        )
-        self._peer_server = PeerServer(settings.host, settings.peer_port)
+        self._peer_server = ports.open(PeerServer, settings.host, settings.peer_port)
+        self._api_socket = ports.open(listen, settings.host, settings.api_port)
         self.own = self._create_own_vm()
         self.drain = Drain()
         self.metrics = Metrics()
@@ -336,6 +337,11 @@
         return all_ended
 
 
+def listen(host: str, port: int):
+    """Return a listener that shares its port with no other process."""
+    return eventlet.listen((host, port), backlog=LISTEN_BACKLOG, reuse_port=False)
+
+
 def log_task_end(task: str, error: Exception) -> None:
     """Log an error that ended a task."""
     logger.opt(exception=error).error("a task of the daemon ended", task=task)
--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -22,7 +22,8 @@
 from eventlet.event import Event  # noqa: E402
 
 from ..error_stream import ErrorStream  # noqa: E402
-from ..port_waiter import PortWaiter  # noqa: E402
+from ..event_loop import send_once, wait_for_event  # noqa: E402
+from ..port_waiter import PORT_WAIT_MARGIN_S, PortWaiter  # noqa: E402
 from ..signal_inbox import SignalInbox  # noqa: E402
 from .ablation import read_replacements  # noqa: E402
 from .boot_clock import BootClock  # noqa: E402
@@ -38,8 +39,6 @@
 EXIT_UNEXPECTED_ERROR = 5
 SETTINGS_TIMEOUT_S = 5.0  # for a settings file that is being written
 SETTINGS_POLL_S = 0.1
-MAX_LOOP_ERRORS = 10  # in the life of a process
-PORT_WAIT_MARGIN_S = 2.0  # beyond the stop grace of a previous process
 
 
 def run_entry_daemon(
@@ -184,7 +183,12 @@
     signals.set_handler(
         signal.SIGHUP, lambda: eventlet.spawn_n(daemon.reload, read_settings)
     )
-    wait_for_event(stop_requested, log)
+
+    def report(error: Exception) -> None:
+        """Log an error that ended the event loop."""
+        log.warn("event loop ended", "", reason=repr(error), trace=True)
+
+    wait_for_event(stop_requested, report)
     if daemon.stop():
         return 0, "stop requested"
     return EXIT_HARD_STOP, "stop requested; requests were answered unfinished"
@@ -215,32 +219,3 @@
                 log.warn("settings not usable yet", "", reason=error.message[:500])
             is_first = False
         sleep(SETTINGS_POLL_S)
-
-
-def wait_for_event(event: Event, log: DecisionLog) -> None:
-    """Wait for an event; let the event loop run again if an error ends it.
-
-    The loop ends with an error of its own, not with one of a task, and starts again
-    with the next wait.
-
-    Raises
-    ------
-    Exception
-        The error that ends the loop for the MAX_LOOP_ERRORS-th time.
-    """
-    error_count = 0
-    while True:
-        try:
-            event.wait()
-            return
-        except Exception as error:
-            log.warn("event loop ended", "", reason=repr(error), trace=True)
-            error_count += 1
-            if error_count == MAX_LOOP_ERRORS:
-                raise
-
-
-def send_once(event: Event) -> None:
-    """Send an event unless it has been sent already."""
-    if not event.ready():
-        event.send(None)
--- a/packages/cassiastaird/cassiastaird/logs.py
+++ b/packages/cassiastaird/cassiastaird/logs.py
@@ -17,8 +17,8 @@
     }
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
-    sys.stderr.write(orjson.dumps(line, default=str).decode() + "\n")
-    sys.stderr.flush()
+    sys.__stderr__.write(orjson.dumps(line, default=str).decode() + "\n")
+    sys.__stderr__.flush()
 
 
 def configure_logging(level: str, vm: str) -> None:
--- a/packages/cassiastaird/cassiastaird/main.py
+++ b/packages/cassiastaird/cassiastaird/main.py
@@ -19,17 +19,22 @@
 from eventlet.event import Event  # noqa: E402
 from loguru import logger  # noqa: E402
 
+from .clock import MonotonicClock  # noqa: E402
 from .daemon import Daemon  # noqa: E402
+from .error_stream import ErrorStream  # noqa: E402
+from .event_loop import send_once, wait_for_event  # noqa: E402
 from .logs import configure_logging  # noqa: E402
-from .settings import read_process_settings  # noqa: E402
+from .port_waiter import PORT_WAIT_MARGIN_S, PortWaiter  # noqa: E402
+from .settings import Settings, read_process_settings  # noqa: E402
 from .settings_page import format_help  # noqa: E402
+from .signal_inbox import SignalInbox  # noqa: E402
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NO_PORT = 3
 EXIT_HARD_STOP = 4
 
 
-def serve(check: bool = False, **flags) -> None:
+def serve(signals: SignalInbox, check: bool = False, **flags) -> None:
     """Run the entry daemon of the cassiastair query tier.
 
     Every setting is a flag, such as --vm=tallinn-1, or an environment variable,
@@ -39,6 +44,8 @@
 
     Parameters
     ----------
+    signals : SignalInbox
+        Holds the signals received so far; not a flag.
     check : bool
         Only check the settings: exit with 0 if they are right, else with 2.
     **flags
@@ -56,44 +63,65 @@
         print("settings are right")
         return
     configure_logging(settings.log_level, settings.vm)
-    try:
-        daemon = Daemon(settings)
-    except OSError as error:
-        logger.error("cannot listen; choose free ports", reason=str(error))
-        sys.exit(EXIT_NO_PORT)
-    run_until_stopped(daemon)
+    # The log itself goes to the original stream.
+    sys.stderr = ErrorStream(lambda text: logger.error("error output", text=text))
+    start_and_run(settings, signals)
 
 
-def run_until_stopped(daemon: Daemon) -> None:
-    """Run the daemon until SIGTERM or SIGINT, then drain it and end the process."""
+def start_and_run(settings: Settings, signals: SignalInbox) -> None:
+    """Start the daemon and run it until a signal stops it, then end the process."""
     stopping = Event()
 
-    def request_stop(signal_number, frame) -> None:
+    def request_stop() -> None:
         """Request the drain; signals after the first have no effect."""
         if not stopping.ready():
             eventlet.spawn_n(send_once, stopping)
 
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
+    def sleep(seconds: float) -> None:
+        """Wait during the start; end the process after a stop signal."""
+        eventlet.sleep(seconds)
+        if stopping.ready():
+            logger.info("process ended", status=0, cause="stop requested")
+            os._exit(0)
+
+    signals.set_handler(signal.SIGTERM, request_stop)
+    signals.set_handler(signal.SIGINT, request_stop)
+    signals.set_handler(signal.SIGHUP, report_reload)
+    timeout_s = settings.hard_stop_ms / 1000 + PORT_WAIT_MARGIN_S
+    ports = PortWaiter(MonotonicClock(), sleep, timeout_s, logger.info)
+    try:
+        daemon = Daemon(settings, ports)
+    except OSError as error:
+        logger.error("cannot listen; choose free ports", reason=str(error))
+        sys.exit(EXIT_NO_PORT)
+    sleep(0)
+    run_until_stopped(daemon, stopping)
+
+
+def report_reload() -> None:
+    """Log that SIGHUP changes nothing: the settings are flags and variables."""
+    logger.warning("settings are read at the start only; restart to change them")
+
+
+def run_until_stopped(daemon: Daemon, stopping: Event) -> None:
+    """Run the daemon until a stop is requested, then drain it and end the process."""
     daemon.start()
     own = daemon.own
     ready_line = {"vm": own.name, "api_port": own.api_port, "peer_port": own.peer_port}
     print(orjson.dumps(ready_line).decode(), flush=True)
-    stopping.wait()
-    all_ended = daemon.stop()
-    os._exit(0 if all_ended else EXIT_HARD_STOP)  # background tasks still run
-
-
-def send_once(event: Event) -> None:
-    """Send an event unless it was sent before; a second send is an error."""
-    if not event.ready():
-        event.send(None)
+    wait_for_event(
+        stopping, lambda error: logger.opt(exception=error).error("event loop ended")
+    )
+    status = 0 if daemon.stop() else EXIT_HARD_STOP
+    logger.info("process ended", status=status, cause="stop requested")
+    os._exit(status)  # background tasks still run
 
 
-def main() -> None:
+def main(signals: SignalInbox) -> None:
     """Parse the command line and run the daemon."""
-    fire.Fire(serve, name="cassiastaird")
 
+    def command(check: bool = False, **flags) -> None:
+        serve(signals, check, **flags)
 
-if __name__ == "__main__":
-    main()
+    command.__doc__ = serve.__doc__
+    fire.Fire(command, name="cassiastaird")
--- a/packages/cassiastaird/cassiastaird/main_test.py
+++ b/packages/cassiastaird/cassiastaird/main_test.py
@@ -1,9 +1,11 @@
 """Tests of the daemon's command line, each run in a process of its own."""
 
 import os
+import signal
 import subprocess
 import sys
 from dataclasses import fields
+from pathlib import Path
 
 from testtools import TestCase
 
@@ -24,7 +26,7 @@
         k: v for k, v in os.environ.items() if not k.startswith("CASSIASTAIRD")
     }
     return subprocess.run(
-        [sys.executable, "-m", "cassiastaird.main", *flags],
+        [sys.executable, "-m", "cassiastaird", *flags],
         capture_output=True,
         text=True,
         env=environment,
@@ -52,3 +54,35 @@
         completed = run(*VALID_FLAGS, "--api_port=1", "--host=192.0.2.1")
         assert completed.returncode == EXIT_NO_PORT
         assert "choose free ports" in completed.stderr
+
+
+class TestSignals(TestCase):
+    """Signals during and after the start of a process."""
+
+    def start(self) -> subprocess.Popen:
+        """Start the daemon and wait until it imports its libraries."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", "cassiastaird", *VALID_FLAGS],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.addCleanup(process.stdout.close)
+        maps = Path(f"/proc/{process.pid}/maps")
+        while "greenlet" not in maps.read_text():
+            assert process.poll() is None
+        return process
+
+    def test_stop_signal_during_the_start_ends_the_process_cleanly(self):
+        process = self.start()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(60) == 0
+
+    def test_reload_signals_do_not_end_the_process(self):
+        process = self.start()
+        process.send_signal(signal.SIGHUP)
+        assert process.stdout.readline().startswith(b"{")
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(60) == 0
--- a/packages/cassiastaird/cassiastaird/port_waiter.py
+++ b/packages/cassiastaird/cassiastaird/port_waiter.py
@@ -11,6 +11,7 @@
 from cassiastair.clock import Clock
 
 RETRY_INTERVAL_S = 0.1
+PORT_WAIT_MARGIN_S = 2.0  # beyond the time that the previous process has for its stop
 
 Listener = TypeVar("Listener")
 
--- a/standins/session.py
+++ b/standins/session.py
@@ -106,7 +106,7 @@
             **settings,
         }
         command = [f"--{name}={value}" for name, value in flags.items()]
-        process = self.processes.start(vm, "cassiastaird.main", *command)
+        process = self.processes.start(vm, "cassiastaird", *command)
         self.daemons[vm] = process
         self.callers[vm] = Caller(process.ready["api_port"])
         self._peer_ports.append(process.ready["peer_port"])
