Read past interim replies of targets; test replies cut anywhere

A cut head or body gave no wrong answer here; the tests cut replies behind every byte, by a close, a reset and a half-closed connection, on new and kept connections, for the platform's interface and the project's own protocol.

They found a related fault. An interim reply (1xx) was taken for the reply. One that bore the target's seal, cut behind its head or not, went to the caller as the final answer: the caller ignores a 103 and takes the answer to its next request for this one's. Without a seal a whole reply behind it was lost (502). A 101 raised HttpParserUpgrade, which no code expects: a read of the own protocol then got no result before its deadline. The reader now goes on behind interim replies; the bytes of all of them count towards the bound of a head. A 101 is a bad reply.

--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -9,9 +9,9 @@
 
     __slots__ = ("_headers", "_head_done")
 
-    def reset(self) -> None:
-        """Make the reader ready for the next reply on the same connection."""
-        super().reset()
+    def _forget_message(self) -> None:
+        """Drop the headers too."""
+        super()._forget_message()
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_done = False
 
--- a/packages/cassiastaird/cassiastaird/targets/client_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/client_test.py
@@ -16,6 +16,8 @@
 from cassiastair.tickets import Catalogue
 from testtools import TestCase
 
+from standins.raw_http import format_reply
+from standins.scripted_target import Reply, ScriptedTarget
 from standins.target_server import TargetServer
 from standins.target_settings import BAD_ANSWERS, TargetSettings
 
@@ -211,3 +213,93 @@
     def test_unreachable_target_proves_that_the_write_did_not_run(self):
         self.server.stop()
         assert self.write_and_fail("w1").proves_not_run
+
+
+class TestCutReplies(TestCase):
+    """Replies cut behind each of their bytes, on new and on kept connections."""
+
+    ANSWER = {
+        "attempt": "a1",
+        "service": "s",
+        "version": 2,
+        "epoch": 1,
+        "start": 0,
+        "end": 2**32,
+        "records": [],
+        "result": {"key": 1},
+        "held": [[1, 2, 2]],
+        "incarnation": "i",
+        "serving": True,
+    }
+    WHOLE = format_reply(200, ANSWER)
+    HEAD, _, BODY = WHOLE.partition(b"\r\n\r\n")
+    CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    CHUNKS = b"14\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n" % (
+        BODY[:20],
+        len(BODY) - 20,
+        BODY[20:],
+    )
+    SWITCH = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade"
+    REPLIES = {
+        "length": WHOLE,
+        "chunked": CHUNKED_HEAD + CHUNKS,
+        "interim": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + WHOLE,
+    }
+    NEVER_COMPLETE = {
+        "without length": b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
+        "interim alone": b"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
+        "switch": SWITCH + b"\r\n\r\n" + WHOLE,
+        "length and chunks": HEAD + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+    }
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MonotonicClock()
+        self.server = ScriptedTarget()
+        self.addCleanup(self.server.stop)
+        registry = TargetRegistry(Catalogue(), DrainingTargets(), self.clock, 7)
+        self.client = HttpTargetClient(registry, self.clock)
+        self.target = Target(
+            "t", "s", "dc", "127.0.0.1", self.server.port, (ALL_KEYS,), 2, 21
+        )
+
+    def call(self, kind: str, data: bytes, ending: str = ""):
+        """Send a request that gets some bytes; return the result or the failure."""
+        self.server.script.append(Reply(data, ending))
+        query = {"search": {}, "key": 1, "body": {}}
+        deadline = self.clock.now() + 60.0
+        attempt = Attempt("a1", "s", Snapshot(2, 1), ALL_KEYS, query, deadline, "")
+        try:
+            if kind == "read":
+                return self.client.read(self.target, attempt)
+            if kind == "write":
+                return self.client.write(self.target, attempt, "w1")
+            return self.client.fetch_report(self.target, 60.0)
+        except TargetFailure as failure:
+            return failure
+
+    def check_cut(self, kind: str, data: bytes, case: object) -> None:
+        """Check that bytes are no answer, however the connection ends behind them."""
+        for ending in ("close", "reset", "half"):
+            for kept in (False, True):
+                self.client.retain_only(set())
+                if kept:
+                    assert not isinstance(self.call(kind, self.WHOLE), TargetFailure)
+                result = self.call(kind, data, ending)
+                assert isinstance(result, BrokenFailure), (case, ending, kept, result)
+
+    @pytest.mark.proof(
+        promise="own answer", failure="a reply is cut in its head or its body"
+    )
+    def test_a_reply_cut_behind_any_byte_is_no_answer(self):
+        for name, reply in self.REPLIES.items():
+            for kind in ("read", "write", "report"):
+                assert not isinstance(self.call(kind, reply), TargetFailure), name
+            for length in range(len(reply)):
+                kind = ("read", "write", "report")[length % 3]
+                self.check_cut(kind, reply[:length], (name, length))
+
+    def test_a_reply_without_its_end_is_no_answer(self):
+        for name, reply in self.NEVER_COMPLETE.items():
+            for kind in ("read", "write", "report"):
+                self.check_cut(kind, reply, (name, kind))
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -7,6 +7,7 @@
 
 MAX_BODY_BYTES = 16_000_000
 MAX_HEAD_BYTES = 65_536  # status line, headers and trailers together
+INTERIM_STATUSES = range(100, 200)
 
 
 class BadReplyError(OSError):
@@ -16,8 +17,8 @@
 class ReplyReader:
     """Passes received bytes to the parser until one reply is complete.
 
-    Bytes behind a complete reply belong to no request: they change nothing of it, and
-    the connection is not reused.
+    Interim replies (status 1xx) before it are ignored. Bytes behind a complete reply
+    belong to no request: they change nothing of it, and the connection is not reused.
 
     Parameters
     ----------
@@ -56,9 +57,13 @@
         """Make the reader ready for the next reply on the same connection."""
         self.done = False
         self.keep_alive = True
+        self._received = 0
+        self._forget_message()
+
+    def _forget_message(self) -> None:
+        """Drop what was read of a message, before the first or after an interim one."""
         self.status = 0
         self._body.clear()
-        self._received = 0
         self._message_count = 0
 
     def take_body(self) -> bytes:
@@ -85,7 +90,7 @@
             raise BadReplyError("the connection was closed before the whole reply")
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.keep_alive = False
             if not self.done:
                 raise BadReplyError(f"not an HTTP reply: {error}") from error
@@ -124,6 +129,9 @@
 
     def on_message_complete(self) -> None:
         """Record that the reply is complete and whether the target closes after it."""
+        if not self.done and self.status in INTERIM_STATUSES:
+            self._forget_message()
+            return
         self.done = True
         if not self._parser.should_keep_alive():
             self.keep_alive = False
