Let back ends cut their answers in the head, in the cluster tests and the soak

The stand-in back ends end a connection inside the head or the body of an answer, framed by a length, by chunks or not at all, and send interim replies. A caller that sends two requests at once on one connection gets the whole answer to each, in order, or an error (150 pairs).

The soak plays the same faults. It compared the bodies of searches only; now those of notes too.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..world.back_end import make_body
 from ..world.caller import Outcome, check_search
 from ..world.cluster import Cluster
 
@@ -85,10 +86,10 @@
 
 
 def check_answers(cluster: Cluster, observations: Observations) -> list[str]:
-    """Check that successful searches have complete answers of their own request.
+    """Check that successful requests have complete answers of their own.
 
-    All parts must come from one configuration, and the number of missing parts must
-    be correct.
+    All parts of a search must come from one configuration, and the number of missing
+    parts must be correct.
     """
     service_by_back_end = {n: b.spec.service for n, b in cluster.back_ends.items()}
     violations = []
@@ -102,6 +103,12 @@
             problem = check_search(outcome, shard_sets, service_by_back_end, 10)
             if problem:
                 violations.append(f"search {outcome.attempt_id}: {problem}")
+    violations += [
+        f"note {outcome.attempt_id}: the body is not the whole one of its own answer"
+        for outcome in observations.notes
+        if outcome.status == 200
+        and outcome.answer.body != make_body("desk", outcome.attempt_id)
+    ]
     return violations
 
 
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -1,6 +1,7 @@
 """Simulated back end that registers in the store and injects faults on demand."""
 
 import random
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -13,6 +14,8 @@
 
 RECORD_COUNT = 12  # records in one answer
 RECORD_BYTES = 16  # size of one record
+FRAMINGS = ("length", "chunks", "none")
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time to send the rest
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +94,12 @@
         Probability of sending a second answer, with the ID of another attempt.
     truncate : float
         Probability of sending half of the answer and closing the connection.
+    cut_head, cut_body : float
+        Probability of ending the connection inside the head, or the body, of an answer.
+        It is closed or reset; a body without a length is always reset.
+    send_interim : float
+        Probability of sending an interim reply with the answer's headers before the
+        answer. An answer that is cut may end behind it.
     omit_length : float
         Probability of answering without a Content-Length header.
     work_factor : float
@@ -110,6 +119,9 @@
     error: float = 0.0
     extra_answer: float = 0.0
     truncate: float = 0.0
+    cut_head: float = 0.0
+    cut_body: float = 0.0
+    send_interim: float = 0.0
     omit_length: float = 0.0
     work_factor: float = 1.0
     never_answer: bool = False
@@ -313,10 +325,19 @@
             sock.sendall(encode_message("HTTP/1.1 500 Failed", headers, body))
             return True
         if self._should_inject(faults.omit_length):
-            head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-            sock.sendall(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body)
+            head, _ = frame_answer("none", headers, body)
+            sock.sendall(head + body)
             return False
-        answer = encode_message("HTTP/1.1 200 OK", headers, body)
+        interim = b""
+        if self._should_inject(faults.send_interim):
+            interim = encode_head("HTTP/1.1 103 Early Hints", headers)
+        if self._should_inject(faults.cut_head):
+            self._send_cut_head(sock, interim, headers, body)
+            return False
+        if self._should_inject(faults.cut_body):
+            self._send_cut_body(sock, interim, headers, body)
+            return False
+        answer = interim + encode_message("HTTP/1.1 200 OK", headers, body)
         if self._should_inject(faults.truncate):
             sock.sendall(answer[: len(answer) // 2])
             return False
@@ -326,6 +347,25 @@
             sock.sendall(encode_message("HTTP/1.1 200 OK", headers, b"x" * 32))
         return True
 
+    def _send_cut_head(
+        self, sock, interim: bytes, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Send an answer up to some byte of its head; close or reset the connection."""
+        head, _ = frame_answer(self._rng.choice(FRAMINGS), headers, body)
+        sock.sendall(interim + head[: self._rng.randrange(len(head))])
+        if self._rng.random() < 0.5:
+            reset_on_close(sock)
+
+    def _send_cut_body(
+        self, sock, interim: bytes, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Send an answer up to some byte of its body; close or reset the connection."""
+        framing = self._rng.choice(FRAMINGS)
+        head, framed = frame_answer(framing, headers, body)
+        sock.sendall(interim + head + framed[: self._rng.randrange(len(framed))])
+        if framing == "none" or self._rng.random() < 0.5:
+            reset_on_close(sock)
+
     def _should_inject(self, probability: float) -> bool:
         """Return True with a given probability, to inject a fault."""
         return probability > 0 and self._rng.random() < probability
@@ -343,6 +383,31 @@
     return headers
 
 
+def encode_head(start_line: str, headers: dict[str, str]) -> bytes:
+    """Return the bytes of a head, with the empty line."""
+    lines = [start_line, *(f"{name}: {value}" for name, value in headers.items())]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def frame_answer(
+    framing: str, headers: dict[str, str], body: bytes
+) -> tuple[bytes, bytes]:
+    """Return the head and the framed body of an answer, in one of `FRAMINGS`."""
+    framed = body
+    if framing == "length":
+        headers = headers | {"Content-Length": f"{len(body)}"}
+    elif framing == "chunks":
+        headers = headers | {"Transfer-Encoding": "chunked"}
+        chunks = (body[: len(body) // 2], body[len(body) // 2 :], b"")
+        framed = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in chunks)
+    return encode_head("HTTP/1.1 200 OK", headers), framed
+
+
+def reset_on_close(sock) -> None:
+    """Let the close of a socket reset its connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def make_body(service: str, attempt_id: str) -> bytes:
     """Return the records that every back end of a service answers a request with."""
     rng = random.Random(f"{service} {attempt_id}")
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -10,9 +10,10 @@
 from testtools import TestCase
 
 from ..soak.checks import check_named_limits
-from .back_end import BackEndSpec
-from .caller import Caller, check_search
+from .back_end import BackEndSpec, make_body
+from .caller import Caller, Outcome, check_search
 from .cluster import HOST, Cluster, find_ports, make_desk_route, make_search_route
+from .http_messages import MessageReader, encode_message
 
 SHARDS = tuple(f"shard{number}" for number in range(6))
 VMS = ("vm0", "vm1", "vm2")
@@ -249,6 +250,47 @@
             assert not (note.status in (408, 421, 429, 503) and executions)
         assert served > 100
 
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="platform: answers cut in the head or the body, requests in a row",
+    )
+    def test_a_200_is_the_whole_answer_to_its_request_despite_cut_replies(self):
+        routes = [make_search_route(SHARDS), make_desk_route("idempotent")]
+        self.cluster.configure(routes, [*SHARDS, "desk"])
+        self.cluster.start_all()
+        self.inject_faults(cut_head=0.05, cut_body=0.05, send_interim=0.1)
+        served = 0
+        sock = eventlet.connect(self.cluster.vms["vm0"].caller_address)
+        self.addCleanup(sock.close)
+        reader = MessageReader(sock)
+        for number in range(150):
+            requests = (("/search/x", f"s{number}"), ("/desk/x", f"d{number}"))
+            sock.sendall(b"".join(self.encode_get(*request) for request in requests))
+            for path, attempt in requests:
+                answer = reader.read()
+                assert answer.headers.get("connection") != "close"
+                served += answer.status == 200
+                self.check_answer(path, attempt, answer)
+        assert served > 200
+
+    def encode_get(self, path: str, attempt: str) -> bytes:
+        """Return an encoded request with an attempt ID."""
+        headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Request-Deadline": 2000}
+        return encode_message(f"GET {path} HTTP/1.1", headers)
+
+    def check_answer(self, path: str, attempt: str, answer) -> None:
+        """Check that an answer is an error, or the whole answer to its request."""
+        if answer.status != 200:
+            assert answer.status in (502, 503, 504), answer
+        elif path.startswith("/desk/"):
+            assert answer.headers["x-attempt-id"] == attempt
+            assert answer.body == make_body("desk", attempt)
+        else:
+            outcome = Outcome(attempt, 200, answer, 0.0, 0.0, "")
+            shard_sets = self.cluster.shard_sets
+            services = self.find_services()
+            assert check_search(outcome, shard_sets, services, 10) is None
+
     @pytest.mark.proof(
         promise="extra load",
         failure="platform: targets name a limit, a VM is killed; over processes",
