Wait for the end of a killed daemon's link before the request that needs it

The session kills tallinn-1 and at once sends a write with one of its ids to tallinn-2.

Which message comes depends on whether tallinn-2 has handled the end of the link when the write arrives. Afterwards the link is gone, a new one cannot be opened, and after a second the write fails as not linked. Before, the write is forwarded on the link; its end then wakes the task, which fails as not answered. Both are right for the caller: 503 issuer_gone with outcome unknown and the same remedy. In the second case the other VM may have run the write; in the first it may have run an earlier try of it.

The session now waits until no running daemon lists a link to the killed one, which is the state that the recording was made in. The golden file and the comparison are unchanged.

--- a/standins/golden_test.py
+++ b/standins/golden_test.py
@@ -105,7 +105,7 @@
         client.comment("no id: each request stands for itself")
         client.post("tallinn-2", "/v1/write", note)
         client.comment("tallinn-1 is killed; its second id was never used")
-        client.session.daemons["tallinn-1"].kill()
+        client.session.kill_daemon("tallinn-1")
         second = {**note, "request_id": request_ids[1]}
         client.post("tallinn-2", "/v1/write", second)
         self.compare(client, "writes.txt")
--- a/standins/session.py
+++ b/standins/session.py
@@ -141,6 +141,21 @@
             self.wait_until(lambda vm=vm: self.is_ready(vm))
             self.wait_until(lambda vm=vm: self._is_linked(vm, objects))
 
+    def kill_daemon(self, vm: str) -> None:
+        """Kill a daemon and wait until the others have seen the end of its links.
+
+        Until then a request that needs the daemon is sent to it and fails in another
+        way than one for which there is no link.
+        """
+        self.daemons[vm].kill()
+        for other, caller in self.callers.items():
+            if self.daemons[other].popen.poll() is None:
+                self.wait_until(
+                    lambda caller=caller: (
+                        vm not in caller.get("/status").body["peers"]["links"]
+                    )
+                )
+
     def _is_linked(self, vm: str, objects: int) -> bool:
         """Return True if a daemon knows all others and has enough objects in force."""
         status = self.callers[vm].get("/status").body
