Pass a reset on as a reset through the soak's proxy

It now reads the socket below and resets the other side.

The new test failed with the proxy as it was, and with the reset left out.

--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -1,9 +1,13 @@
 """TCP proxy that delays bytes, drops them in one or both directions, or resets."""
 
+import struct
+
 import eventlet
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 RECEIVE_BUFFER_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time to send the rest
 
 
 class FaultProxy:
@@ -52,18 +56,24 @@
         self._forward(server, client, "out")
 
     def _forward(self, sender, receiver, direction: str) -> None:
-        """Forward bytes in one direction until either side closes."""
+        """Forward bytes in one direction until either side closes.
+
+        A reset is passed on as one: a close would make a reply without a length whole.
+        """
+        ending = self._shut_down
         try:
-            while data := sender.recv(RECEIVE_BUFFER_BYTES):
+            while data := receive(sender):
                 if self.delay_s:
                     eventlet.sleep(self.delay_s)
                 if self.dropped_direction not in (direction, "both"):
                     receiver.sendall(data)
+        except ConnectionResetError:
+            ending = self._reset_on_close
         except (OSError, EOFError):
             pass  # one side closed; the other one is shut down below
         finally:
             self._sockets.discard(sender)
-            self._shut_down(receiver)
+            ending(receiver)
             sender.close()
 
     def reset(self) -> None:
@@ -71,6 +81,15 @@
         for sock in list(self._sockets):
             self._shut_down(sock)
 
+    @staticmethod
+    def _reset_on_close(sock) -> None:
+        """Let the green thread that reads from a connection reset it."""
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            return  # already closed
+
     @staticmethod
     def _shut_down(sock) -> None:
         """Shut a connection down; the green thread that reads from it closes it."""
@@ -84,3 +103,19 @@
         self._acceptor.kill()
         self._listener.close()
         self.reset()
+
+
+def receive(sock) -> bytes:
+    """Wait for bytes and return them; empty bytes at the end of the stream.
+
+    Raises
+    ------
+    ConnectionResetError
+        If the connection was reset; `recv` of a green socket returns no bytes then.
+    """
+    while True:
+        trampoline(sock, read=True)
+        try:
+            return sock.fd.recv(RECEIVE_BUFFER_BYTES)
+        except BlockingIOError:
+            continue  # spurious wake-up, nothing to read
--- a/standins/soak/soak_test.py
+++ b/standins/soak/soak_test.py
@@ -8,14 +8,19 @@
 import time
 from pathlib import Path
 
+import eventlet
 from testtools import TestCase
 
+from ..scripted_target import Reply, ScriptedTarget
 from .plan import STEP_KINDS, VM_COUNT, draw_plan, select_name
+from .proxy import FaultProxy, receive
 from .soak import Soak
 
 SEEDS = (27, 197)  # limits with store faults, a kill; with two reshards and a stop
 # Seeds that failed once, each with its cause in a comment.
-REGRESSIONS: tuple[int, ...] = ()
+REGRESSIONS: tuple[int, ...] = (
+    20261253,  # the proxy passed a reset on as a close
+)
 
 
 class TestPlan(TestCase):
@@ -36,6 +41,26 @@
         assert select_name(["a", "b"], 1.0) == "b"
 
 
+class TestFaultProxy(TestCase):
+    """Ends of connections through the proxy."""
+
+    def test_a_reset_is_not_passed_on_as_a_close(self):
+        target = ScriptedTarget()
+        self.addCleanup(target.stop)
+        proxy = FaultProxy(("127.0.0.1", target.port))
+        self.addCleanup(proxy.stop)
+        for ending in ("close", "reset"):
+            target.script.append(Reply(b"part", ending))
+            sock = eventlet.connect(proxy.address)
+            self.addCleanup(sock.close)
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            assert receive(sock) == b"part"
+            if ending == "close":
+                assert receive(sock) == b""
+            else:
+                self.assertRaises(ConnectionResetError, receive, sock)
+
+
 class TestSoakExit(TestCase):
     """A soak test that gets a signal leaves no VM process behind.
 
