Close timed-out connections without waiting for their callers

Callers saw: one caller that had sent a part of a request and did not read kept all other connections of the VM from being timed out, for as long as it stayed.

Cause: the one task that closes timed-out connections wrote the 408 with a blocking sendall. An exception in it also ended that task for good, because it is started by the accepting task and not restarted.

The 408 is now sent as far as the kernel takes it at once, and an error of one connection is logged and ends only that connection.

Evidence: on test_a_timed_out_caller_that_does_not_read_is_closed_without_waiting and test_an_error_of_one_connection_leaves_the_others_to_time_out both hang until their guard of 5 s; they pass now.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -18,6 +18,7 @@
 TCP_INFO_BYTES = 104  # prefix of Linux's struct tcp_info that includes tcpi_rtt
 TCPI_RTT_OFFSET = 68  # tcpi_rtt is in microseconds
 TCPI_RTT = struct.Struct("=I")
+JOINED_BYTES = 65_536  # replies up to this size are copied for a single write
 MAX_PIPELINED = 16  # complete requests read ahead on one connection
 CONTINUE_REPLY = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES = {
@@ -142,15 +143,7 @@
 
     def _send(self, reply: HttpReply, keep_alive: bool) -> None:
         """Write a reply to the socket."""
-        reason = REASON_PHRASES.get(reply.status, b"Status")
-        lines = [b"HTTP/1.1 %d %b\r\n" % (reply.status, reason)]
-        lines += [b"%b: %b\r\n" % header for header in reply.headers]
-        lines.append(b"Content-Length: %d\r\n" % len(reply.body))
-        if not keep_alive:
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        lines.append(reply.body)
-        self._sock.sendall(b"".join(lines))
+        self._sock.sendall(b"".join(encode_reply(reply, keep_alive)))
 
     def _stop_serving(self) -> None:
         """Cancel serving if the caller has left, else wait for the last answer."""
@@ -196,10 +189,14 @@
         self._closing = True
         error = MalformedRequestError("the request did not arrive in time")
         error.status = 408
-        try:
-            self._send(self._handler.answer_error(error), False)
-        except OSError:
-            pass  # the caller has left
+        head, body = encode_reply(self._handler.answer_error(error), False)
+        with suppress(OSError):  # the caller has left
+            send_at_once(self._sock.fd, head, body)  # a task for all must not wait
+        self._shut_down()
+
+    def abort(self) -> None:
+        """Close the connection whatever it does."""
+        self._closing = True
         self._shut_down()
 
     def close_idle(self) -> None:
@@ -232,3 +229,36 @@
         return TCPI_RTT.unpack_from(info, TCPI_RTT_OFFSET)[0] / 1e6
     except (OSError, struct.error):
         return 0.0  # not a TCP socket, or a system without tcp_info
+
+
+def encode_reply(reply: HttpReply, keep_alive: bool) -> tuple[bytes, bytes]:
+    """Return the head and the body of a reply to send."""
+    reason = REASON_PHRASES.get(reply.status, b"Status")
+    lines = [b"HTTP/1.1 %d %b\r\n" % (reply.status, reason)]
+    lines += [b"%b: %b\r\n" % header for header in reply.headers]
+    lines.append(b"Content-Length: %d\r\n" % len(reply.body))
+    if not keep_alive:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"\r\n")
+    return b"".join(lines), reply.body
+
+
+def send_at_once(raw_socket, head: bytes, body: bytes) -> list[memoryview]:
+    """Send what the kernel takes without waiting and return the rest, not copied.
+
+    Raises
+    ------
+    OSError
+        If the connection is broken.
+    """
+    try:
+        if len(body) <= JOINED_BYTES:
+            head, body = head + body, b""
+            sent = raw_socket.send(head)
+        else:
+            sent = raw_socket.sendmsg((head, body))
+    except BlockingIOError:
+        sent = 0
+    head_rest = memoryview(head)[sent:]
+    body_rest = memoryview(body)[max(0, sent - len(head)) :]
+    return [part for part in (head_rest, body_rest) if part]
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -115,7 +115,15 @@
             eventlet.sleep(TIMEOUT_CHECK_INTERVAL_S)
             now = self.clock.now()
             for connection in list(self._connections):
-                connection.close_if_timed_out(now)
+                self._close_if_timed_out(connection, now)
+
+    def _close_if_timed_out(self, connection: CallerConnection, now: float) -> None:
+        """Close a connection that times out; an error ends only this connection."""
+        try:
+            connection.close_if_timed_out(now)
+        except Exception as error:
+            self._decisions.warn("internal failure", "", reason=repr(error), trace=True)
+            connection.abort()
 
     @property
     def open_count(self) -> int:
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -1,5 +1,6 @@
 """Tests of request parsing, target replies, callers' connections and the event log."""
 
+import contextlib
 import tracemalloc
 from unittest import mock
 
@@ -419,6 +420,35 @@
         self.connection.close_if_timed_out(self.handler.clock.now())
         assert b" 408 " in self.receive()
 
+    def test_a_timed_out_caller_that_does_not_read_is_closed_without_waiting(self):
+        self.caller.sendall(b"GET /a HT")
+        eventlet.sleep(0.01)
+        raw_socket = self.connection._sock.fd
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                raw_socket.send(bytes(65_536))
+        self.handler.clock.advance(3.5)
+        with eventlet.Timeout(5.0):
+            self.connection.close_if_timed_out(self.handler.clock.now())
+        assert self.connection.closed
+
+
+class TestTimeoutCheck(TestCase):
+    """Task that closes the connections that time out."""
+
+    def test_an_error_of_one_connection_leaves_the_others_to_time_out(self):
+        server = EchoServer()
+        faulty = mock.Mock(find_silence=lambda now: 0.0)
+        faulty.close_if_timed_out.side_effect = RuntimeError("fault")
+        sound = mock.Mock(find_silence=lambda now: 0.0)
+        server._connections.update((faulty, sound))
+        task = eventlet.spawn(server._close_timed_out)
+        self.addCleanup(task.kill)
+        with eventlet.Timeout(5.0):
+            while faulty.close_if_timed_out.call_count < 2:
+                eventlet.sleep(0.05)
+        assert sound.close_if_timed_out.call_count >= 1
+
 
 class EchoServer(CallerServer):
     """Answers each request with its path, without a forwarder."""
