Reserve memory for the bytes of callers before they are read

Callers saw: a VM whose callers stall in large bodies, or send many large requests to busy targets, grows above its memory, where the platform ends the process (FAULT).

One MemoryAccount now has a bound that is derived from the memory limit less the idle size. Connections, small requests, bodies, unread answers, replies of targets and the store have guaranteed parts and borrow the rest. A body of known length is reserved as a whole before it is read: no two half-received requests wait for each other. Without memory the socket is not read; after the time that a head may take, or at once if too much waits already, the request is refused unrun with 503 and Retry-After, and the rest of it is discarded so that the answer arrives. When others wait, connections silent for longer than that time are closed, the longest silent first. Accepted requests and those with a target are never dropped for memory. The receive buffer of callers' connections is bounded to 32 KiB (Linux doubles it), since bytes that the kernel holds count too. Large answers are sent from where they are, without copies of the rest; the size of a head is summed up as it arrives.

ReplyMemory reserves from the account; its bound falls with what the account can give.

--- a/packages/cassiastair/cassiastair/errors.py
+++ b/packages/cassiastair/cassiastair/errors.py
@@ -81,6 +81,15 @@
     remedy = "retry after a pause, or with a longer deadline"
 
 
+class MemoryFullError(RefusedError):
+    """The request was not taken in, because the memory for requests is full."""
+
+    code = "memory_full"
+    status = 503
+    remedy = "try again after the time given, or through another entry VM"
+    retry_after = 1.0
+
+
 class StoppingError(RefusedError):
     """The daemon is stopping and accepts no new requests."""
 
--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -1,24 +1,36 @@
-"""HTTP connection of a caller, with one task that reads and one that serves."""
+"""HTTP connection of a caller, with one task that reads and one that serves.
+
+Memory is reserved before bytes are read, see `ConnectionMemory`. While there is none,
+the socket is not read, so that the caller's own system holds the bytes back.
+"""
 
 import struct
 from contextlib import suppress
 
 import eventlet
-from cassiastair.errors import CassiastairError, MalformedRequestError
+from cassiastair.errors import (
+    CassiastairError,
+    MalformedRequestError,
+    MemoryFullError,
+)
 from eventlet.green import socket
 from greenlet import GreenletExit
 
+from .connection_memory import CONNECTION_BYTES, SMALL_BODY_BYTES, ConnectionMemory
 from .handler import RequestHandler
 from .http_message import HttpReply
 from .request_reader import RequestReader
 
 RECEIVE_BYTES = 65_536
+HEAD_RECEIVE_BYTES = 16_384  # read at a time until the length of a body is known
+JOINED_BYTES = 65_536  # replies up to this size are copied for a single write
+LINGER_S = 2.0  # time to discard the rest of a refused request
 FIRST_REQUEST_WAIT_S = 0.5  # time that a stopping VM gives a new connection to send
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 TCP_INFO_BYTES = 104  # prefix of Linux's struct tcp_info that includes tcpi_rtt
 TCPI_RTT_OFFSET = 68  # tcpi_rtt is in microseconds
 TCPI_RTT = struct.Struct("=I")
-JOINED_BYTES = 65_536  # replies up to this size are copied for a single write
+TCP_ENDED_STATES = (7, 8)  # TCP_CLOSE, TCP_CLOSE_WAIT
 MAX_PIPELINED = 16  # complete requests read ahead on one connection
 CONTINUE_REPLY = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES = {
@@ -54,11 +66,15 @@
         self._sock = sock
         self._handler = handler
         self._reader = RequestReader(handler.limits)
+        self._memory = ConnectionMemory(handler.memory)
         self._serving_task = None
         self._closing = False
         self._last_activity_at = handler.clock.now()
         self._rtt: float | None = None
+        self._received_at = self._last_activity_at
         self._is_unused = True
+        self._is_writing = False
+        self._lingers = False
         self.closed = False
 
     @property
@@ -69,31 +85,89 @@
     def run(self) -> None:
         """Read requests and have them served until the connection ends."""
         try:
+            if not self._memory.open():
+                self._refuse(self._handler.memory.connections.refuse(CONNECTION_BYTES))
             while not self._closing:
-                data = self._sock.recv(RECEIVE_BYTES)
+                data = self._receive()
                 if not data or self.closed:
                     break  # an answer could not be sent any more
                 self._handle_data(data)
+            if self._lingers:
+                self._discard_rest()
         except (OSError, EOFError):
             pass  # a reset, or a shutdown by the serving task
+        except MemoryFullError as error:
+            self._refuse(error)
+            with suppress(OSError, EOFError):
+                self._discard_rest()
         finally:
             self._stop_serving()
+            self._memory.close()
             self._sock.close()
 
+    def _receive(self) -> bytes:
+        """Reserve memory for the request that arrives and receive a part of it.
+
+        Raises
+        ------
+        MemoryFullError
+            If there is no memory for it.
+        """
+        reader = self._reader
+        if not reader.partial:
+            return self._sock.recv(HEAD_RECEIVE_BYTES)
+        self._memory.reserve_arriving(reader, self._handler.limits, self._check_caller)
+        if reader.expects_continue:
+            reader.expects_continue = False
+            self._sock.sendall(CONTINUE_REPLY)
+        if not reader.in_body:
+            return self._sock.recv(HEAD_RECEIVE_BYTES)
+        if reader.announced_length is None:
+            return self._sock.recv(RECEIVE_BYTES)
+        return self._sock.recv(
+            min(RECEIVE_BYTES, max(1, reader.announced_length - reader.body_size))
+        )
+
+    def _check_caller(self) -> None:
+        """Raise ConnectionResetError if the caller has closed the connection.
+
+        The state tells it even while bytes that the caller sent before are unread.
+        """
+        if self.closed or has_ended(self._sock):
+            raise ConnectionResetError("the caller has left")
+
+    def _refuse(self, error: MemoryFullError) -> None:
+        """Have a request refused after the answers to those before it."""
+        self._lingers = True
+        self._start_serving(error)
+
+    def _discard_rest(self) -> None:
+        """Discard what the caller still sends, so that it gets the answer.
+
+        A socket that is closed with unread bytes resets the connection, which drops
+        an answer that the caller has not read.
+        """
+        with eventlet.Timeout(LINGER_S, False):
+            while self._sock.recv(HEAD_RECEIVE_BYTES):
+                pass
+
     def _handle_data(self, data: bytes) -> None:
         """Parse received bytes and start serving the complete requests."""
         self._is_unused = False
+        self._received_at = self._handler.clock.now()
         if not self._reader.partial:
-            self._last_activity_at = self._handler.clock.now()
+            self._last_activity_at = self._received_at
         self._reader.limits = self._handler.limits
+        complete_count = len(self._reader.requests)
         error = None
         try:
             self._reader.feed(data)
         except CassiastairError as failure:
             error = failure
-        if self._reader.expects_continue:
-            self._reader.expects_continue = False
-            self._sock.sendall(CONTINUE_REPLY)
+        for index in range(complete_count, len(self._reader.requests)):
+            request, _ = self._reader.requests[index]
+            if not self._memory.add_complete(request):
+                self._closing = self._lingers = True
         self._start_serving(error)
         while (
             self._serving_task is not None
@@ -114,7 +188,15 @@
             while self._reader.requests:
                 message, keep_alive = self._reader.requests.popleft()
                 keep_alive = keep_alive and not self._handler.should_close_connections()
-                reply = self._handler.answer(message, self._measure_caller_rtt())
+                if self._memory.has_first():
+                    reply = self._handler.answer(message, self._measure_caller_rtt())
+                else:
+                    keep_alive = False
+                    reply = self._handler.answer_error(
+                        self._handler.memory.requests.refuse(SMALL_BODY_BYTES)
+                    )
+                del message
+                self._memory.release_first()
                 keep_alive = keep_alive and not self._handler.should_close_connections()
                 self._send(reply, keep_alive)
                 if not keep_alive:
@@ -143,7 +225,33 @@
 
     def _send(self, reply: HttpReply, keep_alive: bool) -> None:
         """Write a reply to the socket."""
-        self._sock.sendall(b"".join(encode_reply(reply, keep_alive)))
+        head, body = encode_reply(reply, keep_alive)
+        rest = send_at_once(self._sock.fd, head, body)
+        if rest:
+            self._send_rest(rest)
+
+    def _send_rest(self, rest: list[memoryview]) -> None:
+        """Send the part of a reply that the kernel did not take at once.
+
+        Raises
+        ------
+        OSError
+            If the connection breaks, or there is no memory to keep the rest.
+        """
+        answers = self._handler.memory.answers
+        size = sum(len(part) for part in rest)
+        if not answers.try_reserve(size):
+            answers.refuse()
+            raise ConnectionAbortedError("no memory for an answer that is not read")
+        self._is_writing = True
+        try:
+            for part in rest:
+                while part:
+                    part = part[self._sock.send(part) :]
+                    self._last_activity_at = self._handler.clock.now()
+        finally:
+            self._is_writing = False
+            answers.release(size)
 
     def _stop_serving(self) -> None:
         """Cancel serving if the caller has left, else wait for the last answer."""
@@ -165,14 +273,21 @@
             self.closed = True
             self._handler.remove_connection(self)
             try:
-                self._sock.shutdown(socket.SHUT_RDWR)
+                self._sock.shutdown(
+                    socket.SHUT_WR if self._lingers else socket.SHUT_RDWR
+                )
             except OSError:
                 pass  # the caller has closed it already
 
     def close_if_timed_out(self, now: float) -> None:
         """Close the connection if it is idle, or a request incomplete, for too long."""
         limits = self._handler.limits
-        if self._serving_task is not None or self.closed:
+        if self.closed:
+            return
+        if self._is_writing and now - self._last_activity_at > limits.idle_timeout:
+            self._closing = True
+            self._shut_down()
+        if self._serving_task is not None:
             return
         inactive_s = now - self._last_activity_at
         if self._reader.partial and not self._reader.in_body:
@@ -199,6 +314,29 @@
         self._closing = True
         self._shut_down()
 
+    def find_silence(self, now: float) -> float:
+        """Return for how many seconds a request or an answer has not progressed.
+
+        It is 0 if none is unfinished, or if a request is with a target.
+        """
+        if self.closed or self._closing:
+            return 0.0
+        if self._is_writing:
+            return now - self._last_activity_at
+        if self._serving_task is None and self._reader.partial:
+            return now - self._received_at
+        return 0.0
+
+    def close_for_memory(self) -> int:
+        """Close the connection; return how much memory that releases."""
+        size = self._memory.size
+        if self._is_writing:
+            self._closing = True
+            self._shut_down()
+        else:
+            self._answer_timeout()
+        return size
+
     def close_idle(self) -> None:
         """Close the connection unless a request is in progress or has arrived."""
         if self.is_idle and not self._has_unread_data():
@@ -231,6 +369,15 @@
         return 0.0  # not a TCP socket, or a system without tcp_info
 
 
+def has_ended(sock) -> bool:
+    """Return True if the peer has closed a TCP connection; it may have unread bytes."""
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        return state in TCP_ENDED_STATES
+    except OSError:
+        return False  # not a TCP socket
+
+
 def encode_reply(reply: HttpReply, keep_alive: bool) -> tuple[bytes, bytes]:
     """Return the head and the body of a reply to send."""
     reason = REASON_PHRASES.get(reply.status, b"Status")
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import eventlet
-from cassiastair.errors import CassiastairError, MalformedRequestError
+from cassiastair.errors import CassiastairError, MalformedRequestError, MemoryFullError
 from cassiastair.forwarding import DecisionLog, Forwarder
 from cassiastair.routing import CallerLimits, RoutingTable
 from eventlet.green import socket
@@ -11,12 +11,16 @@
 
 from ..drain import Drain
 from .caller_connection import CallerConnection
+from .entry_memory import EntryMemory
 from .handler import RequestHandler
 from .http_codec import HttpCodec
 from .http_message import HttpReply, HttpRequest
 from .request_stats import RequestStats
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5  # interval of checks for connections to time out
+# Accepted connections inherit it. What the kernel holds while a connection waits for
+# memory counts toward the limit of the process.
+RECEIVE_BUFFER_BYTES = 32_768
 ACCEPT_RETRY_S = 0.05  # pause after a failed accept, for example out of descriptors
 
 
@@ -41,6 +45,8 @@
         Returns True if this VM is ready for callers' requests.
     clock : Clock
         Source of time.
+    memory : EntryMemory
+        Memory for the bytes of callers.
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         stats: RequestStats,
         is_ready: Callable[[], bool],
         clock,
+        memory: EntryMemory,
     ):
         self._forwarder = forwarder
         self._table = table
@@ -62,6 +69,7 @@
         self._stats = stats
         self._is_ready = is_ready
         self.clock = clock
+        self.memory = memory
         self._connections: set[CallerConnection] = set()
         self._listener = None
 
@@ -85,6 +93,7 @@
     def run(self, listener) -> None:
         """Accept connections until the listener is closed."""
         self._listener = listener
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         eventlet.spawn_n(self._close_timed_out)
         while True:
             try:
@@ -116,6 +125,7 @@
             now = self.clock.now()
             for connection in list(self._connections):
                 self._close_if_timed_out(connection, now)
+            self._free_memory(now)
 
     def _close_if_timed_out(self, connection: CallerConnection, now: float) -> None:
         """Close a connection that times out; an error ends only this connection."""
@@ -125,6 +135,23 @@
             self._decisions.warn("internal failure", "", reason=repr(error), trace=True)
             connection.abort()
 
+    def _free_memory(self, now: float) -> None:
+        """Close connections without progress while others wait for memory.
+
+        Those silent for longest go first, after the time that a head may take.
+        """
+        needed = self.memory.take_shortage()
+        if not needed:
+            return
+        limit = self.limits.header_timeout
+        silent = [(c.find_silence(now), c) for c in self._connections]
+        silent = [item for item in silent if item[0] > limit]
+        silent.sort(key=lambda item: -item[0])
+        for _, connection in silent:
+            if needed <= 0:
+                return
+            needed -= connection.close_for_memory()
+
     @property
     def open_count(self) -> int:
         """Number of open connections."""
@@ -224,7 +251,10 @@
 
     def answer_error(self, error: CassiastairError) -> HttpReply:
         """Count and log a connection error and return the reply to it."""
-        self._decisions.warn("bad request", "", code=error.code, reason=error.message)
+        if not isinstance(error, MemoryFullError):  # its begin and end are logged
+            self._decisions.warn(
+                "bad request", "", code=error.code, reason=error.message
+            )
         self._stats.record_error(error)
         if not isinstance(error, CassiastairError):
             error = MalformedRequestError(str(error))
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -39,6 +39,7 @@
 )
 from cassiastair.routing import RoutingTable
 
+from ..allocator import map_large_blocks
 from ..drain import Drain
 from ..heap_freezer import HeapFreezer
 from ..peers import LinkManager, PeerServer
@@ -48,6 +49,7 @@
 from ..tasks import run_supervised
 from .boot_clock import BootClock
 from .caller_server import CallerServer
+from .entry_memory import EntryMemory, read_resident_memory
 from .entry_settings import EntrySettings
 from .event_log import EventLog
 from .http_codec import HttpCodec
@@ -154,7 +156,13 @@
             self.count_vms,
             self.members.count_in,
         )
-        self.reply_memory = ReplyMemory(int(REPLY_SHARE * settings.memory_bytes))
+        map_large_blocks()
+        self.memory = EntryMemory(
+            settings.memory_bytes, self._clock, read_resident_memory
+        )
+        self.reply_memory = ReplyMemory(
+            int(REPLY_SHARE * settings.memory_bytes), self.memory.replies
+        )
         self.transport = RoutedTransport(codec, self._clock, shares, self.reply_memory)
         self.registry = RoutedTargetRegistry(
             self._clock,
@@ -206,6 +214,7 @@
             self.stats,
             self.is_ready,
             self._clock,
+            self.memory,
         )
 
     def _wire_replication(self, decoder: ItemDecoder, store: StoreClient) -> None:
@@ -304,6 +313,14 @@
         memory = self.reply_memory
         add("reply_bytes_held", "Of incomplete replies.", lambda: memory.held)
         add("replies_over_memory", "Given up.", lambda: memory.exceeded_count)
+        account = self.memory.account
+        add("memory_limit_bytes", "For other's bytes.", lambda: account.limit)
+        add("memory_waiting_bytes", "Not read yet.", lambda: account.waiting)
+        for holder in account.holders:
+            name = f"memory_{holder.name}_bytes"
+            add(name, "Reserved.", lambda holder=holder: holder.held)
+            name = f"memory_{holder.name}_refusals"
+            add(name, "Refused.", lambda holder=holder: holder.refused_count)
         add("connections_opened", "To targets.", self.transport.count_opened)
         add("items_refused", "Items not decoded.", lambda: self.applier.refused_count)
         add("log_lines_dropped", "Lines not written.", lambda: self.log.dropped)
@@ -360,7 +377,9 @@
             self._share_limits()
             self._log_resumed()
             self._prune_statistics()
-            heap.freeze_if_grown(len(self.replica))
+            if heap.freeze_if_grown(len(self.replica)):
+                self.memory.measure_idle()
+            self._check_memory()
             due = self._clock.now() + MAINTENANCE_INTERVAL_S
             eventlet.sleep(MAINTENANCE_INTERVAL_S)
             self.loop_lag = max(0.0, self._clock.now() - due)
@@ -369,6 +388,20 @@
             if self.pauses.pause_count > pause_count:
                 self.log.warn("paused", "", lag_ms=round(self.loop_lag * 1000))
 
+    def _check_memory(self) -> None:
+        """Return free memory after a crest; log the begin and the end of pressure."""
+        change = self.memory.check()
+        if change is not None:
+            account = self.memory.account
+            self.log.warn(
+                "memory pressure",
+                "",
+                state=change,
+                held=self.memory.list_held(),
+                refused=self.memory.list_refused(),
+                limit=account.limit,
+            )
+
     def _share_outliers(self) -> None:
         """Send the outlier targets to peers and log targets whose state changed."""
         self.node.share_outliers()
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -23,6 +23,7 @@
 from .caller_connection import CallerConnection
 from .caller_server import CallerServer
 from .entry_daemon import EntryDaemon
+from .entry_memory import EntryMemory
 from .event_log import MAX_BURST_LINES, EventLog
 from .full_reply_reader import FullReplyReader
 from .handler import RequestHandler
@@ -303,6 +304,7 @@
     def __init__(self):
         self.clock = ManualClock()
         self.pause = 0.0
+        self.memory = EntryMemory(100_000_000, self.clock, lambda: 0)
         self.finished = []
         self.stopping = False
         self.open_connections = 1
@@ -432,6 +434,65 @@
             self.connection.close_if_timed_out(self.handler.clock.now())
         assert self.connection.closed
 
+    def send_head(self, length: int) -> None:
+        """Send the head of a request with a body of this length."""
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % length
+        self.caller.sendall(head)
+
+    def fill_memory(self) -> int:
+        """Reserve all that bodies can get and return its size."""
+        bodies = self.handler.memory.bodies
+        size = bodies.available
+        assert bodies.try_reserve(size)
+        return size
+
+    def test_a_body_is_not_read_before_there_is_memory_for_it(self):
+        size = self.fill_memory()
+        self.send_head(100_000)
+        eventlet.sleep(0.01)
+        self.caller.sendall(bytes(100_000))
+        eventlet.sleep(0.01)
+        assert self.connection._reader.body_size == 0
+        self.handler.memory.bodies.release(size)
+        assert self.receive().endswith(b"/a")
+
+    def test_a_body_that_gets_no_memory_in_time_is_refused_unread(self):
+        self.fill_memory()
+        self.send_head(100_000)
+        eventlet.sleep(0.01)
+        self.handler.clock.advance(3.5)
+        received = self.receive()
+        assert b" 503 " in received
+        assert received.endswith(b"memory_full")
+        assert self.handler.finished == []
+
+    def test_a_small_body_is_refused_when_there_is_no_memory(self):
+        requests = self.handler.memory.requests
+        assert requests.try_reserve(requests.available)
+        self.send_head(10)
+        self.caller.sendall(bytes(10))
+        assert self.receive().endswith(b"memory_full")
+        assert self.handler.finished == []
+
+    def test_nothing_is_held_after_a_connection_is_closed(self):
+        self.handler.pause = 60.0
+        self.caller.sendall(GET)
+        self.send_head(100_000)
+        self.caller.sendall(bytes(50_000))
+        eventlet.sleep(0.01)
+        assert self.handler.memory.account.held > 100_000
+        self.caller.close()
+        self.wait_until_closed()
+        assert self.handler.memory.account.held == 0
+
+    def test_an_unread_answer_without_memory_ends_only_its_connection(self):
+        answers = self.handler.memory.answers
+        assert answers.try_reserve(answers.available)
+        self.handler.answer = lambda message, rtt: HttpReply(200, (), bytes(10**7))
+        self.caller.sendall(GET)
+        self.wait_until_closed()
+        assert answers.refused_count == 1
+
 
 class TestTimeoutCheck(TestCase):
     """Task that closes the connections that time out."""
@@ -449,6 +510,21 @@
                 eventlet.sleep(0.05)
         assert sound.close_if_timed_out.call_count >= 1
 
+    def test_the_longest_silent_callers_are_closed_first_for_others_that_wait(self):
+        server = EchoServer()
+        connections = [
+            mock.Mock(find_silence=lambda now, s=s: s) for s in (2.0, 4.0, 9.0, 6.0)
+        ]
+        for connection in connections:
+            connection.close_for_memory.return_value = 60_000
+        server._connections.update(connections)
+        server.memory.bodies.refuse(100_000)
+        server._free_memory(10.0)
+        closed = [c.close_for_memory.called for c in connections]
+        assert closed == [False, False, True, True]
+        server._free_memory(10.0)
+        assert not connections[1].close_for_memory.called
+
 
 class EchoServer(CallerServer):
     """Answers each request with its path, without a forwarder."""
@@ -456,7 +532,9 @@
     def __init__(self):
         table = mock.Mock(limits=CallerLimits())
         others = [mock.Mock() for _ in range(5)]
-        super().__init__(others[0], table, *others[1:], lambda: False, ManualClock())
+        clock = ManualClock()
+        memory = EntryMemory(100_000_000, clock, lambda: 0)
+        super().__init__(others[0], table, *others[1:], lambda: False, clock, memory)
 
     def answer(self, message: HttpRequest, caller_rtt: float) -> HttpReply:
         """Return the path."""
--- a/packages/cassiastaird/cassiastaird/entry/handler.py
+++ b/packages/cassiastaird/cassiastaird/entry/handler.py
@@ -6,6 +6,7 @@
 from cassiastair.errors import CassiastairError
 from cassiastair.routing import CallerLimits
 
+from .entry_memory import EntryMemory
 from .http_message import HttpReply, HttpRequest
 
 
@@ -16,9 +17,12 @@
     ----------
     clock : Clock
         Source of time.
+    memory : EntryMemory
+        Memory for the bytes of callers.
     """
 
     clock: Clock
+    memory: EntryMemory
 
     @property
     @abstractmethod
--- a/packages/cassiastaird/cassiastaird/entry/request_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/request_reader.py
@@ -39,6 +39,8 @@
         Whether the head of that request is complete.
     expects_continue : bool
         Whether the caller waits for `100 Continue` before it sends the body.
+    announced_length : int or None
+        Length of the body of that request; None if its head does not state it.
     """
 
     def __init__(self, limits: CallerLimits):
@@ -47,6 +49,7 @@
         self.partial = False
         self.in_body = False
         self.expects_continue = False
+        self.announced_length: int | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._body = BodyBuffer()
         self._reset()
@@ -55,10 +58,22 @@
         """Clear the parts of the previous request."""
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._headers_size = 0
         self._head_size = 0
+        self.announced_length = None
         self._body.clear()
         self._received_in_body = 0
 
+    @property
+    def header_count(self) -> int:
+        """Number of headers of the request that has begun."""
+        return len(self._headers)
+
+    @property
+    def body_size(self) -> int:
+        """Bytes of the body that have arrived of the request that has begun."""
+        return self._body.size
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
@@ -106,8 +121,8 @@
         if self.in_body:
             return
         self._headers.append((name, value))
-        size = sum(len(n) + len(v) + 4 for n, v in self._headers)
-        if size > self.limits.header_bytes:
+        self._headers_size += len(name) + len(value) + 4
+        if self._headers_size > self.limits.header_bytes:
             raise HeadersTooLargeError("the head is larger than the limit")
 
     def on_headers_complete(self) -> None:
@@ -118,6 +133,7 @@
             if lower == b"content-length" and value.strip().isdigit():
                 if int(value) > self.limits.body_bytes:
                     raise TooLargeError("the body is larger than the limit")
+                self.announced_length = int(value)
             elif lower == b"expect" and value.lower() == b"100-continue":
                 self.expects_continue = True
 
