Send large bodies to targets without copies

A body that was sent to a target was copied into the request for as long as the reply took, and a part that did not fit into the socket buffer once more, so that the body of a request took up to three times its size. The head is now encoded alone, a body above 64 KiB is written from where it is, and nothing of the request stays referenced by the send after it. Smaller requests are still one write.

encode_target_request stays, for the codec's tests, as the head with the body.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -16,6 +16,7 @@
 from eventlet.green import socket
 from greenlet import GreenletExit
 
+from ..send_at_once import send_at_once
 from .connection_memory import CONNECTION_BYTES, SMALL_BODY_BYTES, ConnectionMemory
 from .handler import RequestHandler
 from .http_message import HttpReply
@@ -23,7 +24,6 @@
 
 RECEIVE_BYTES = 65_536
 HEAD_RECEIVE_BYTES = 16_384  # read at a time until the length of a body is known
-JOINED_BYTES = 65_536  # replies up to this size are copied for a single write
 LINGER_S = 2.0  # time to discard the rest of a refused request
 FIRST_REQUEST_WAIT_S = 0.5  # time that a stopping VM gives a new connection to send
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -388,24 +388,3 @@
         lines.append(b"Connection: close\r\n")
     lines.append(b"\r\n")
     return b"".join(lines), reply.body
-
-
-def send_at_once(raw_socket, head: bytes, body: bytes) -> list[memoryview]:
-    """Send what the kernel takes without waiting and return the rest, not copied.
-
-    Raises
-    ------
-    OSError
-        If the connection is broken.
-    """
-    try:
-        if len(body) <= JOINED_BYTES:
-            head, body = head + body, b""
-            sent = raw_socket.send(head)
-        else:
-            sent = raw_socket.sendmsg((head, body))
-    except BlockingIOError:
-        sent = 0
-    head_rest = memoryview(head)[sent:]
-    body_rest = memoryview(body)[max(0, sent - len(head)) :]
-    return [part for part in (head_rest, body_rest) if part]
--- a/packages/cassiastaird/cassiastaird/entry/http_codec.py
+++ b/packages/cassiastaird/cassiastaird/entry/http_codec.py
@@ -40,11 +40,17 @@
             If a required part is missing or malformed.
         """
 
-    @abstractmethod
     def encode_target_request(
         self, request: CallerRequest, target: RoutedTarget, time_left: float
     ) -> bytes:
-        """Return the bytes of a request to a target.
+        """Return the bytes of a request to a target, see `encode_target_head`."""
+        return self.encode_target_head(request, target, time_left) + request.body
+
+    @abstractmethod
+    def encode_target_head(
+        self, request: CallerRequest, target: RoutedTarget, time_left: float
+    ) -> bytes:
+        """Return the head of a request to a target; the caller's body follows it.
 
         Parameters
         ----------
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -94,7 +94,7 @@
         if time_left < MIN_TIME_LEFT_S:
             pool.release(connection)
             raise ConnectFailure("the deadline passed before the send")
-        payload = self._codec.encode_target_request(request, target, time_left)
+        head = self._codec.encode_target_head(request, target, time_left)
         reader = connection.reader
         if reader is None:
             reader = connection.reader = FullReplyReader(self._memory)
@@ -102,7 +102,7 @@
             reader.reset()
         connection.last_attempt = request.attempt_id
         try:
-            connection.exchange_with(payload, reader)
+            connection.exchange_with(head, reader, request.body)
         except OSError as error:
             pool.discard(connection)
             raise BrokenFailure(f"the connection broke: {error!r}") from error
--- a/packages/cassiastaird/cassiastaird/targets/connection.py
+++ b/packages/cassiastaird/cassiastaird/targets/connection.py
@@ -7,6 +7,7 @@
 from eventlet.hubs.hub import READ
 from greenlet import getcurrent
 
+from ..send_at_once import send_at_once
 from .reply_memory import ReplyMemory
 from .reply_reader import ReplyReader
 
@@ -109,7 +110,9 @@
         self.exchange_with(request, reader)
         return reader.status, reader.take_body()
 
-    def exchange_with(self, request: bytes, reader: ReplyReader) -> None:
+    def exchange_with(
+        self, head: bytes, reader: ReplyReader, body: bytes = b""
+    ) -> None:
         """Send a request and pass received bytes to a reader until it has the reply.
 
         Raises
@@ -117,7 +120,7 @@
         OSError
             If the connection breaks or the reply is not HTTP.
         """
-        self._send(request)
+        self._send(head, body)
         try:
             while not reader.done:
                 reader.feed(self._wait_and_receive())
@@ -126,14 +129,10 @@
             raise
         self.reusable = reader.keep_alive
 
-    def _send(self, request: bytes) -> None:
+    def _send(self, head: bytes, body: bytes) -> None:
         """Send a request; wait only if it does not fit into the socket buffer."""
-        try:
-            sent = self._raw_socket.send(request)
-        except BlockingIOError:
-            sent = 0
-        if sent < len(request):
-            self._green_socket.sendall(request[sent:])
+        for part in send_at_once(self._raw_socket, head, body):
+            self._green_socket.sendall(part)
 
     def _wait_and_receive(self) -> bytes:
         """Wait for bytes and return them; empty bytes at the end of the stream."""
