Name the reason for which a hedge or retry is not sent

Change: UnsentReason. The line of the failure has no_retry and no_hedge, 'answered in part' has no_hedge by shard, 'hedge not sent' (sampled) and 'retry not sent' are new lines, and the counter sends_not_made_total has the reasons by service. cassiactl losses makes them part of the cause; cassiactl follow shows them. The lines are written after the decision, not before it. Two decisions are new: no retry or backoff is planned at or after the deadline.

logs_page_test compares the reasons of docs/LOGS.md with the enumeration. follow_test's record has the new field, and its check asks for it besides the old text. Attempt ids of ForwardingBench contain the VM, so that VMs may share targets in a test.

--- a/packages/cassiactl/cassiactl/follow_test.py
+++ b/packages/cassiactl/cassiactl/follow_test.py
@@ -14,7 +14,14 @@
     {"time": 2.0, "vm": "a", "event": "configuration in force", "version": 7},
     {"time": 2.5, "vm": "b", "event": "platform lost", "revision": 9},
     {"time": 4.0, "vm": "a", "event": "not served", "request": "r1", "code": "late"},
-    {"time": 3.0, "vm": "a", "event": "send failed", "request": "r1", "target": "t"},
+    {
+        "time": 3.0,
+        "vm": "a",
+        "event": "send failed",
+        "request": "r1",
+        "target": "t",
+        "no_retry": "budget",
+    },
     {"time": 3.5, "vm": "a", "event": "not served", "request": "r2", "code": "x"},
 )
 
@@ -38,7 +45,7 @@
         assert events == ["send failed", "not served"]
         (belief,) = report.document["beliefs"]
         assert (belief["version"], belief["age_s"]) == (7, 1.0)
-        assert "target=t" in report.text
+        assert "target=t no_retry=budget" in report.text
 
     def test_request_without_records_is_not_found(self):
         assert follow(self.path, "r9").status is ExitStatus.NOT_FOUND
--- a/packages/cassiactl/cassiactl/losses.py
+++ b/packages/cassiactl/cassiactl/losses.py
@@ -97,7 +97,7 @@
 def find_request_losses(events: dict[str, list[dict]]) -> list[Loss]:
     """Return the losses of one request from its records by event."""
     failures = Counter(
-        (record["service"], describe_failure(record["reason"]))
+        (record["service"], describe_failure(record))
         for record in events.get("send failed", ())
     )
     for record in events.get("not served", ()):
@@ -141,19 +141,30 @@
     causes: Counter = Counter()
     for service in record["missing"]:
         of_shard = Counter({c: n for (s, c), n in failures.items() if s == service})
-        cause = of_shard.most_common(1)[0][0] if of_shard else NO_ANSWER
+        if of_shard:
+            cause = of_shard.most_common(1)[0][0]
+        else:
+            cause = describe_silence(record, service)
         causes[f"part left out: {cause}"] += 1
     return normalize(causes)
 
 
-def describe_failure(reason: str) -> str:
-    """Return the kind of a failed send, without the details of one case."""
-    kind, _, rest = reason.partition(":")
+def describe_failure(record: dict) -> str:
+    """Return the kind of a failed send and why it was not repeated, if so."""
+    kind, _, rest = record["reason"].partition(":")
     if kind == "RefusedFailure":
-        return f"refused with{rest}"
+        kind = f"refused with{rest}"
+    if "no_retry" in record:
+        return f"{kind}, no retry: {record['no_retry']}"
     return kind
 
 
+def describe_silence(record: dict, service: str) -> str:
+    """Return that a shard did not answer, and why it got no hedge, if so."""
+    no_hedge = record.get("no_hedge", {}).get(service)
+    return f"{NO_ANSWER}, no hedge: {no_hedge}" if no_hedge else NO_ANSWER
+
+
 def normalize(counts: Counter) -> dict[str, float]:
     """Return counts as shares of their sum."""
     total = sum(counts.values())
--- a/packages/cassiactl/cassiactl/losses_test.py
+++ b/packages/cassiactl/cassiactl/losses_test.py
@@ -82,6 +82,21 @@
             "run_unknown: status 504": 0.5,
         }
 
+    def test_the_reason_for_which_a_send_was_not_made_is_part_of_the_cause(self):
+        failure = make_failure("r", "a", "BadAnswerFailure: garbled")
+        refused = make_record(
+            "not served", "r", route="one", code="run_unknown", outcome="unknown"
+        )
+        lost = self.sum_by_cause([failure | {"no_retry": "budget"}, refused])
+        assert lost == {"run_unknown: BadAnswerFailure, no retry: budget": 1.0}
+
+    def test_the_reason_for_which_a_shard_got_no_hedge_is_part_of_the_cause(self):
+        partial = make_partial("r", ["a", "b"], 2) | {"no_hedge": {"b": "budget"}}
+        assert set(self.sum_by_cause([partial])) == {
+            f"part left out: {NO_ANSWER}",
+            f"part left out: {NO_ANSWER}, no hedge: budget",
+        }
+
     def test_rows_of_each_table_add_up_to_the_same_sum(self):
         records = [
             make_failure("r", "a", "status 504"),
--- a/packages/cassiastair/cassiastair/forwarding/__init__.py
+++ b/packages/cassiastair/cassiastair/forwarding/__init__.py
@@ -19,6 +19,7 @@
 from .target_limits import TargetLimits
 from .target_registry import RoutedTargetRegistry
 from .transport import TargetReply, TargetTransport
+from .unsent_reason import UnsentReason
 
 __all__ = [
     "AnswerDeadlines",
@@ -38,5 +39,6 @@
     "TargetLimits",
     "TargetReply",
     "TargetTransport",
+    "UnsentReason",
     "ForwardedAnswer",
 ]
--- a/packages/cassiastair/cassiastair/forwarding/availability.py
+++ b/packages/cassiastair/cassiastair/forwarding/availability.py
@@ -3,8 +3,11 @@
 import math
 from collections.abc import Collection
 
+from ..targets.failures import ConnectionLimitFailure
 from .dependencies import ForwardingDependencies
+from .send import Send
 from .target_stats import RoutedTargetStats
+from .unsent_reason import UnsentReason
 
 MIN_RETRY_AFTER_S = 0.05
 MAX_LIMIT_WAIT_S = 2.0  # room under a limit may also come from other VMs
@@ -41,6 +44,35 @@
     return [c for c in candidates if has_free_connection(c.target)] or candidates
 
 
+def explain_no_untried(
+    deps: ForwardingDependencies, service: str, tried: Collection[str], last: Send
+) -> UnsentReason:
+    """Return why `find_untried` has found no target for a hedge or a retry.
+
+    Parameters
+    ----------
+    deps : ForwardingDependencies
+        Collaborators.
+    service : str
+        Name of the service.
+    tried : collection of str
+        Names of the targets that were left out.
+    last : Send
+        Latest send of the request to the service.
+    """
+    now = deps.clock.now()
+    untried = [
+        c for c in deps.registry.candidates(service) if c.target.name not in tried
+    ]
+    if untried:
+        if all(c.paused_until > now for c in untried):
+            return UnsentReason.TARGET_PAUSED
+        return UnsentReason.TARGET_LIMIT
+    if isinstance(last.outcome, ConnectionLimitFailure):
+        return UnsentReason.CONNECTION_BOUND
+    return UnsentReason.NO_UNTRIED_TARGET
+
+
 def find_service_wait(deps: ForwardingDependencies, service: str) -> float:
     """Return the seconds until a target of a service may get a request.
 
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -8,7 +8,12 @@
 from ..targets.failures import ConnectFailure
 from .answer import MergedAnswer
 from .answer_deadlines import AnswerDeadlines
-from .availability import find_retry_after, find_service_wait, find_untried
+from .availability import (
+    explain_no_untried,
+    find_retry_after,
+    find_service_wait,
+    find_untried,
+)
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
 from .send import Send, stop_later
@@ -16,10 +21,12 @@
 from .timers import Timers
 from .top_records import TopRecords
 from .transport import TargetReply
+from .unsent_reason import UnsentReason
 
 INITIAL_BACKOFF_S = 0.02  # before targets that refused are retried; doubles each time
 MAX_BACKOFFS = 4  # per shard
 MAX_USEFUL_WAIT_S = INITIAL_BACKOFF_S * (2**MAX_BACKOFFS - 1)  # all backoffs
+MAX_NAMED_SHARDS = 8  # missing shards that a log line names
 RETRY_AFTER_S = 0.5  # after which targets of a lost shard may have returned
 
 
@@ -45,6 +52,8 @@
         Failed sends whose request may have run.
     backoffs : int
         Number of backoffs so far.
+    no_hedge : UnsentReason or None
+        Why no hedge was sent when one was due.
     """
 
     __slots__ = (
@@ -56,6 +65,7 @@
         "tried",
         "possible_runs",
         "backoffs",
+        "no_hedge",
     )
 
     def __init__(self, service: str):
@@ -67,6 +77,7 @@
         self.tried: set[str] = set()
         self.possible_runs = 0
         self.backoffs = 0
+        self.no_hedge: UnsentReason | None = None
 
     @property
     def pending_count(self) -> int:
@@ -199,19 +210,16 @@
             if shard.is_open:
                 action(shard)
 
-    def _send(self, shard: ShardState, reason: str) -> bool:
-        """Send to a target of a shard that was not tried yet.
+    def _send(self, shard: ShardState, reason: str) -> None:
+        """Send to a target of a shard that was not tried yet, if there is one.
 
-        Returns
-        -------
-        bool
-            Whether there was such a target.
+        A shard without such a target is left out, unless a send to it is pending.
         """
         candidates = self._find_untried(shard)
         if not candidates:
             if not shard.pending_count:
                 self._give_up(shard)
-            return False
+            return
         now = self._deps.clock.now()
         chosen = self._deps.chooser.choose(candidates, now, self._hedge_delay)
         send = Send(self._deps, chosen, self._latency, reason)
@@ -223,28 +231,49 @@
         send.start(self._request, deadline, False, self._results.put)
         if len(shard.sends) == 1:
             self._timers.add(now + self._hedge_delay, self._hedge, shard)
-        return True
 
     def _find_untried(self, shard: ShardState) -> list[RoutedTargetStats]:
         """Return the untried targets of a shard that may get a request now."""
         is_extra = bool(shard.sends)
         return find_untried(self._deps, shard.service, shard.tried, is_extra)
 
-    def _may_send_extra(self, shard: ShardState) -> bool:
-        """Spend an extra send on a shard; return whether its limits allow it."""
+    def _refuse_extra(self, shard: ShardState) -> UnsentReason | None:
+        """Spend an extra send; return the limit that does not allow it, if any."""
         if shard.possible_runs + shard.pending_count >= self._route.max_attempts:
-            return False
-        return self._deps.retry_budget.try_spend(shard.service)
+            return UnsentReason.MAX_ATTEMPTS
+        if not self._deps.retry_budget.try_spend(shard.service):
+            return UnsentReason.BUDGET
+        return None
+
+    def _count_unsent(self, shard: ShardState, reason: UnsentReason) -> None:
+        """Count a hedge or retry that is not sent."""
+        self._deps.send_counts.record_unsent(reason, shard.service)
+
+    def _explain_no_untried(self, shard: ShardState) -> UnsentReason:
+        """Return why no untried target of a shard may get a request now."""
+        return explain_no_untried(
+            self._deps, shard.service, shard.tried, shard.sends[-1]
+        )
 
     def _hedge(self, shard: ShardState) -> None:
         """Send to a second target of a shard that has not answered in time."""
         for send in shard.sends:
             if not send.ended:
                 send.record_late()
-        if not self._find_untried(shard):
-            return
-        if self._may_send_extra(shard):
+        if self._find_untried(shard):
+            shard.no_hedge = self._refuse_extra(shard)
+        else:
+            shard.no_hedge = self._explain_no_untried(shard)
+        if shard.no_hedge is None:
             self._send(shard, "hedge")
+            return
+        self._count_unsent(shard, shard.no_hedge)
+        self._deps.decision_log.record_sampled(
+            "hedge not sent",
+            self._request.attempt_id,
+            service=shard.service,
+            reason=shard.no_hedge,
+        )
 
     def _handle_outcome(self, shard: ShardState, send: Send) -> None:
         """Record a successful reply, or handle a failure."""
@@ -267,28 +296,54 @@
 
     def _handle_failure(self, shard: ShardState, send: Send) -> None:
         """Retry at another target, or back off if all have refused, or give up."""
-        outcome = send.outcome
-        not_run = not isinstance(outcome, TargetReply) and outcome.proves_not_run
+        not_run = is_proved_not_run(send)
         if not not_run:
             shard.possible_runs += 1
         if not shard.is_open:
+            self._count_unsent(shard, UnsentReason.FINISHED)
             return
-        self._log_failure(shard, send)
+        waited = self._deps.clock.now() - send.started_at
+        no_retry = self._retry_or_back_off(shard, send)
+        if no_retry is not None:
+            self._count_unsent(shard, no_retry)
+            if no_retry is not UnsentReason.PENDING:
+                self._give_up(shard)
+        self._log_failure(shard, send, waited, no_retry)
+
+    def _retry_or_back_off(self, shard: ShardState, failed: Send):
+        """Retry at a shard or back off.
+
+        Returns
+        -------
+        UnsentReason or None
+            Why neither is done, if so.
+        """
         if shard.pending_count:
-            return
-        needs_no_budget = isinstance(outcome, ConnectFailure)
+            return UnsentReason.PENDING
+        if self._deps.clock.now() >= self._deadlines.deadline:
+            return UnsentReason.DEADLINE
         if self._find_untried(shard):
-            if needs_no_budget or self._may_send_extra(shard):
+            needs_no_budget = isinstance(failed.outcome, ConnectFailure)
+            refused = None if needs_no_budget else self._refuse_extra(shard)
+            if refused is None:
                 self._send(shard, "retry")
-                return
-        elif not_run and shard.backoffs < MAX_BACKOFFS and self._may_wait(shard):
-            backoff = INITIAL_BACKOFF_S * 2**shard.backoffs
-            shard.backoffs += 1
-            self._timers.add(
-                self._deps.clock.now() + backoff, self._retry_after_backoff, shard
-            )
-            return
-        self._give_up(shard)
+            return refused
+        if not is_proved_not_run(failed):
+            return self._explain_no_untried(shard)
+        return self._back_off(shard)
+
+    def _back_off(self, shard: ShardState) -> UnsentReason | None:
+        """Schedule a retry at any target; return the reason if that is no use."""
+        if shard.backoffs >= MAX_BACKOFFS:
+            return UnsentReason.BACKOFFS
+        if not self._may_wait(shard):
+            return self._explain_no_untried(shard)
+        due = self._deps.clock.now() + INITIAL_BACKOFF_S * 2**shard.backoffs
+        if due >= self._deadlines.deadline:
+            return UnsentReason.DEADLINE
+        shard.backoffs += 1
+        self._timers.add(due, self._retry_after_backoff, shard)
+        return None
 
     def _may_wait(self, shard: ShardState) -> bool:
         """Return False if all targets of a shard have named a time that is too late."""
@@ -298,11 +353,22 @@
     def _retry_after_backoff(self, shard: ShardState) -> None:
         """Retry at any target of a shard, after all of them refused."""
         shard.tried.clear()
-        last = shard.sends[-1].outcome
-        if isinstance(last, ConnectFailure) or self._may_send_extra(shard):
+        refused = None
+        if not self._find_untried(shard):
+            refused = self._explain_no_untried(shard)
+        elif not isinstance(shard.sends[-1].outcome, ConnectFailure):
+            refused = self._refuse_extra(shard)
+        if refused is None:
             self._send(shard, "retry")
-        else:
-            self._give_up(shard)
+            return
+        self._give_up(shard)
+        self._count_unsent(shard, refused)
+        self._deps.decision_log.warn(
+            "retry not sent",
+            self._request.attempt_id,
+            service=shard.service,
+            reason=refused,
+        )
 
     def _give_up(self, shard: ShardState) -> None:
         """Leave a shard out of the answer."""
@@ -310,8 +376,14 @@
             shard.failed = True
             self._open_count -= 1
 
-    def _log_failure(self, shard: ShardState, send: Send) -> None:
-        """Log a failed send."""
+    def _log_failure(
+        self,
+        shard: ShardState,
+        send: Send,
+        waited: float,
+        no_retry: UnsentReason | None,
+    ) -> None:
+        """Log a failed send and why the request was not sent once more, if so."""
         self._deps.decision_log.warn(
             "send failed",
             self._request.attempt_id,
@@ -319,7 +391,8 @@
             target=send.stats.target.name,
             reason=describe_outcome(send.outcome),
             send=send.reason,
-            waited_ms=round((self._deps.clock.now() - send.started_at) * 1000, 1),
+            waited_ms=round(waited * 1000, 1),
+            **name_reasons(no_retry, shard.no_hedge),
         )
 
     def _make_answer(self) -> MergedAnswer:
@@ -328,16 +401,18 @@
             self._raise_failure()
         missing = len(self._shards) - len(self._seals)
         if missing:
-            names = [s.service for s in self._shards if s.reply is None]
+            lost = [s for s in self._shards if s.reply is None][:MAX_NAMED_SHARDS]
+            no_hedge = {s.service: s.no_hedge for s in lost if s.no_hedge}
             self._deps.decision_log.warn(
                 "answered in part",
                 self._request.attempt_id,
                 route=self._route.name,
-                missing=names[:8],
+                missing=[s.service for s in lost],
                 missing_count=missing,
                 shards=len(self._shards),
                 waited_ms=self._waited_ms(),
                 hedge_ms=round(self._hedge_delay * 1000, 1),
+                no_hedge=no_hedge,
             )
         return MergedAnswer(tuple(self._seals), missing, self._records.join())
 
@@ -368,6 +443,14 @@
     return outcome.proves_not_run
 
 
+def name_reasons(
+    no_retry: UnsentReason | None, no_hedge: UnsentReason | None
+) -> dict[str, UnsentReason]:
+    """Return the inputs of a log line that say why a request was not sent again."""
+    reasons = {"no_retry": no_retry, "no_hedge": no_hedge}
+    return {name: reason for name, reason in reasons.items() if reason is not None}
+
+
 def describe_outcome(outcome) -> str:
     """Describe the outcome of an unsuccessful send, for log records and errors."""
     if isinstance(outcome, TargetReply):
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -8,14 +8,20 @@
 from ..targets.failures import ConnectFailure
 from .answer import ForwardedAnswer
 from .answer_deadlines import find_deadline
-from .availability import find_retry_after, find_service_wait, find_untried
+from .availability import (
+    explain_no_untried,
+    find_retry_after,
+    find_service_wait,
+    find_untried,
+)
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
-from .scatter import describe_outcome, is_proved_not_run
+from .scatter import describe_outcome, is_proved_not_run, name_reasons
 from .send import Send, stop_later
 from .target_stats import RoutedTargetStats
 from .timers import Timers
 from .transport import TargetReply
+from .unsent_reason import UnsentReason
 
 RETRY_AFTER_S = 0.3  # after which a target that refused may accept requests again
 INITIAL_BACKOFF_S = 0.05  # before targets that refused are retried; doubles each time
@@ -59,6 +65,7 @@
         self._results = ResultQueue()
         self._timers = Timers()
         self._answer: TargetReply | None = None
+        self._no_hedge: UnsentReason | None = None
         self._finished = False
 
     def run(self) -> ForwardedAnswer:
@@ -102,7 +109,9 @@
             self._handle_outcome(send)
             return
         for action, reason in self._timers.pop_due(self._deps.clock.now()):
-            if not self._finished:
+            if self._finished:
+                self._count_unsent(UnsentReason.FINISHED)
+            else:
                 action(reason)
 
     def _send(self, reason: str) -> None:
@@ -127,27 +136,62 @@
         is_extra = bool(self._sends)
         return find_untried(self._deps, self._service, self._tried, is_extra)
 
-    def _may_send_extra(self) -> bool:
-        """Spend an extra send; return whether the limits allow it."""
+    def _refuse_extra(self) -> UnsentReason | None:
+        """Spend an extra send; return the limit that does not allow it, if any."""
         possible_runs = sum(1 for send in self._sends if not is_proved_not_run(send))
         if possible_runs >= self._route.max_attempts:
-            return False
-        return self._deps.retry_budget.try_spend(self._service)
+            return UnsentReason.MAX_ATTEMPTS
+        if not self._deps.retry_budget.try_spend(self._service):
+            return UnsentReason.BUDGET
+        return None
+
+    def _count_unsent(self, reason: UnsentReason) -> None:
+        """Count a hedge or retry that is not sent."""
+        self._deps.send_counts.record_unsent(reason, self._service)
+
+    def _explain_no_untried(self) -> UnsentReason:
+        """Return why there is no untried target that may get a request now."""
+        return explain_no_untried(
+            self._deps, self._service, self._tried, self._sends[-1]
+        )
 
     def _hedge(self, reason: str) -> None:
         """Send to a second target if the first has not answered."""
-        if any(not send.ended for send in self._sends) and self._find_untried():
-            if self._may_send_extra():
-                self._send(reason)
+        if all(send.ended for send in self._sends):
+            return
+        if self._find_untried():
+            self._no_hedge = self._refuse_extra()
+        else:
+            self._no_hedge = self._explain_no_untried()
+        if self._no_hedge is None:
+            self._send(reason)
+            return
+        self._count_unsent(self._no_hedge)
+        self._deps.decision_log.record_sampled(
+            "hedge not sent",
+            self._request.attempt_id,
+            service=self._service,
+            reason=self._no_hedge,
+        )
 
     def _handle_outcome(self, send: Send) -> None:
-        """Accept the reply of a target, or log and handle a failure."""
+        """Accept the reply of a target, or handle and log a failure."""
         outcome = send.outcome
         if isinstance(outcome, TargetReply):
             self._answer = outcome
             if outcome.status < LOWEST_SERVER_ERROR or not self._route.idempotent:
                 self._finished = True
                 return
+        waited = self._deps.clock.now() - send.started_at
+        if self._finished:
+            no_retry = UnsentReason.FINISHED
+        elif any(not other.ended for other in self._sends):
+            no_retry = UnsentReason.PENDING
+        else:
+            no_retry = self._retry_or_back_off(send)
+            self._finished = no_retry is not None
+        if no_retry is not None:
+            self._count_unsent(no_retry)
         self._deps.decision_log.warn(
             "send failed",
             self._request.attempt_id,
@@ -155,33 +199,39 @@
             target=send.stats.target.name,
             reason=describe_outcome(outcome),
             send=send.reason,
-            waited_ms=round((self._deps.clock.now() - send.started_at) * 1000, 1),
+            waited_ms=round(waited * 1000, 1),
+            **name_reasons(no_retry, self._no_hedge),
         )
-        if any(not other.ended for other in self._sends):
-            return
-        self._retry_or_finish(send)
 
-    def _retry_or_finish(self, failed: Send) -> None:
-        """Retry or back off if that is safe, otherwise finish the request."""
+    def _retry_or_back_off(self, failed: Send) -> UnsentReason | None:
+        """Retry or back off if that is safe; return the reason if neither is done."""
         not_run = is_proved_not_run(failed)
         if not not_run and not self._route.idempotent:
-            self._finished = True
-            return
-        needs_no_budget = isinstance(failed.outcome, ConnectFailure)
+            return UnsentReason.NOT_IDEMPOTENT
+        if self._deps.clock.now() >= self._deadline:
+            return UnsentReason.DEADLINE
         if self._find_untried():
-            if needs_no_budget or self._may_send_extra():
+            needs_no_budget = isinstance(failed.outcome, ConnectFailure)
+            refused = None if needs_no_budget else self._refuse_extra()
+            if refused is None:
                 self._send("retry")
-                return
-        elif not_run and self._backoffs < MAX_BACKOFFS:
-            backoff = INITIAL_BACKOFF_S * 2**self._backoffs
-            if MAX_USEFUL_WAIT_S < self._find_wait() < math.inf:
-                self._finished = True  # all targets have named a later time
-                return
-            self._backoffs += 1
-            now = self._deps.clock.now()
-            self._timers.add(now + backoff, self._retry_after_backoff, "retry")
-            return
-        self._finished = True
+            return refused
+        if not not_run:
+            return self._explain_no_untried()
+        return self._back_off()
+
+    def _back_off(self) -> UnsentReason | None:
+        """Schedule a retry at any target; return the reason if that is no use."""
+        if self._backoffs >= MAX_BACKOFFS:
+            return UnsentReason.BACKOFFS
+        if MAX_USEFUL_WAIT_S < self._find_wait() < math.inf:
+            return self._explain_no_untried()  # all targets have named a later time
+        due = self._deps.clock.now() + INITIAL_BACKOFF_S * 2**self._backoffs
+        if due >= self._deadline:
+            return UnsentReason.DEADLINE
+        self._backoffs += 1
+        self._timers.add(due, self._retry_after_backoff, "retry")
+        return None
 
     def _find_wait(self) -> float:
         """Return the seconds until a target may get the request; see `availability`."""
@@ -190,12 +240,22 @@
     def _retry_after_backoff(self, reason: str) -> None:
         """Retry at any target, after all of them refused."""
         self._tried.clear()
-        last = self._sends[-1].outcome
-        sends_before = len(self._sends)
-        if isinstance(last, ConnectFailure) or self._may_send_extra():
+        refused = None
+        if not self._find_untried():
+            refused = self._explain_no_untried()
+        elif not isinstance(self._sends[-1].outcome, ConnectFailure):
+            refused = self._refuse_extra()
+        if refused is None:
             self._send(reason)
-        if len(self._sends) == sends_before:
-            self._finished = True
+            return
+        self._finished = True
+        self._count_unsent(refused)
+        self._deps.decision_log.warn(
+            "retry not sent",
+            self._request.attempt_id,
+            service=self._service,
+            reason=refused,
+        )
 
     def _make_answer(self) -> ForwardedAnswer:
         """Return the answer, or raise the error that says why there is none."""
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -75,6 +75,7 @@
         vms: Sequence[str] = ("vm0",),
     ):
         self.clock = clock
+        self._vm = vm
         rng = random.Random(seed)
         self.transport = transport or FakeTransport(clock)
         self.registry = RoutedTargetRegistry(
@@ -133,7 +134,7 @@
     ) -> CallerRequest:
         """Return a request with a new attempt ID, received now."""
         self._count += 1
-        attempt_id = f"r{self._count}"
+        attempt_id = f"{self._vm}-r{self._count}"
         return CallerRequest(attempt_id, "host", path, caller_timeout, self.clock.now())
 
     def run(self, path: str = "/a/x", caller_timeout: float = 1.0):
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -291,6 +291,12 @@
         sends = self.dependencies.send_counts
         page.add_counters("sends_total", "Sends by reason.", "reason", sends.by_reason)
         page.add_counters("send_ends_total", "Ends of sends.", "end", sends.by_outcome)
+        page.add_counters_by(
+            "sends_not_made_total",
+            "Hedges and retries not sent.",
+            ("reason", "service"),
+            sends.unsent,
+        )
         add = page.add_gauge
         add("configuration_version", "In force.", lambda: self.table.version)
         add("news_revision", "Known completely.", lambda: self.replica.revision)
@@ -430,7 +436,9 @@
         self._pruned_version = configuration.version
         names = {route.name for route in configuration.routes}
         self.dependencies.latencies.retain_only(names)
-        self.dependencies.retry_budget.retain_only(self.table.referenced_services())
+        services = self.table.referenced_services()
+        self.dependencies.retry_budget.retain_only(services)
+        self.dependencies.send_counts.retain_only(services)
 
     def reload(self, read_settings) -> None:
         """Read the settings again and apply those that may change at run time."""
--- a/packages/cassiastaird/cassiastaird/entry/logs_page_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/logs_page_test.py
@@ -1,8 +1,9 @@
-"""Checks that docs/LOGS.md documents every logged event and no other."""
+"""Checks that docs/LOGS.md documents every logged event and reason, and no other."""
 
 import re
 from pathlib import Path
 
+from cassiastair.forwarding import UnsentReason
 from testtools import TestCase
 
 ROOT = Path(__file__).resolve().parents[4]
@@ -33,3 +34,8 @@
             e for row in rows for e in re.findall(r"`([a-z ]+)`", row.split("|")[1])
         }
         assert logged == documented
+
+    def test_the_page_lists_exactly_the_reasons_of_sends_not_made(self):
+        page = (ROOT / "docs/LOGS.md").read_text()
+        documented = re.findall(r"^- `([a-z_]+)`:", page, re.MULTILINE)
+        assert sorted(documented) == sorted(reason.value for reason in UnsentReason)
--- a/packages/cassiastaird/cassiastaird/entry/metrics_page.py
+++ b/packages/cassiastaird/cassiastaird/entry/metrics_page.py
@@ -25,7 +25,7 @@
     def __init__(self, stats: RequestStats):
         self._stats = stats
         self._gauges: list[tuple[str, str, Callable[[], float]]] = []
-        self._counters: list[tuple[str, str, str, Mapping[str, int]]] = []
+        self._counters: list[tuple[str, str, tuple[str, ...], Mapping]] = []
         self.add_counters("answers_total", "Answers.", "route", stats.answers)
         self.add_counters("refusals_total", "Errors.", "code", stats.errors)
         self.add_gauge("peak_memory_bytes", "Peak memory.", read_peak_memory)
@@ -38,7 +38,17 @@
         self, name: str, help_text: str, label: str, values: Mapping[str, int]
     ) -> None:
         """Add a counter with one label, whose values are the keys of a mapping."""
-        self._counters.append((name, help_text, label, values))
+        self._counters.append((name, help_text, (label,), values))
+
+    def add_counters_by(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        values: Mapping[tuple[str, ...], int],
+    ) -> None:
+        """Add a counter with several labels; the keys of a mapping are their values."""
+        self._counters.append((name, help_text, labels, values))
 
     def render(self) -> bytes:
         """Return the page in the Prometheus text format."""
@@ -49,10 +59,11 @@
             value = read()
             number = int(value) if isinstance(value, bool) else value
             Gauge(PREFIX + name, help_text, registry=registry).set({}, number)
-        for name, help_text, label, values in self._counters:
+        for name, help_text, labels, values in self._counters:
             counter = Counter(PREFIX + name, help_text, registry=registry)
             for key, value in values.items():
-                counter.set({label: key}, value)
+                keys = key if isinstance(key, tuple) else (key,)
+                counter.set(dict(zip(labels, keys, strict=True)), value)
         page = render(registry, [])[0].decode()
         return (page + self._render_histograms()).encode()
 
