Let a target of the own protocol name a time without requests

A refusal may now carry pause_ms. The adapter decodes it and the refusal "draining" into the TargetNotice that the platform's interface uses; the bound of absurd times moves there with it, and what is unreadable costs a log line and not the refusal. The pause is kept in the target's statistics with the run that named it. Searches, probes, hedges, retries and writes leave the target out, and what waits for a place at it is not sent. A refusal that comes after its search has ended counts too, which a drain did not before.

Changed: TargetObserver takes a clock, so its two users in tests pass one; MAX_PAUSE_S is imported from targets.notice in forwarding/notice_test.py; the fake targets' refusals bear the notice that the adapter would decode.

--- a/packages/cassiastair/cassiastair/at_most_once/model_test.py
+++ b/packages/cassiastair/cassiastair/at_most_once/model_test.py
@@ -101,7 +101,7 @@
             registry=bench.registry,
             client=cluster.client,
             chooser=PowerOfTwoChooser(random.Random(1)),
-            observer=TargetObserver(bench.held, bench.draining_targets),
+            observer=TargetObserver(bench.held, bench.draining_targets, cluster.clock),
             pauses=self.pauses,
             tracer=NoOpTracer(),
             clock=cluster.clock,
--- a/packages/cassiastair/cassiastair/at_most_once/writer.py
+++ b/packages/cassiastair/cassiastair/at_most_once/writer.py
@@ -19,7 +19,8 @@
 from ..pauses import PauseDetector
 from ..search.observer import TargetObserver
 from ..targets import TargetChooser, TargetClient, TargetRegistry
-from ..targets.failures import TargetFailure
+from ..targets.failures import NotSentFailure, TargetFailure
+from ..targets.registry import find_unpaused
 from ..targets.target_stats import TargetStats
 from ..traces import Span, TraceContext, Tracer
 from .result import RequestResult
@@ -106,7 +107,8 @@
         last_failure = "no target accepts new requests"
         while self.clock.now() < request.deadline:
             candidates = self.registry.candidates(request.service.name, shard)
-            untried = [c for c in candidates if c.target.name not in tried]
+            unpaused = find_unpaused(candidates, self.clock.now())
+            untried = [c for c in unpaused if c.target.name not in tried]
             if not untried:
                 break
             chosen = self.chooser.choose(untried)
@@ -114,6 +116,7 @@
             try:
                 return self._send(request, shard, chosen)
             except TargetFailure as failure:
+                self.observer.record_notice(chosen, failure)
                 self.observer.record_failure(chosen, failure)
                 last_failure = f"target {chosen.target.name}: {failure.message}"
                 if not failure.proves_not_run:
@@ -126,6 +129,8 @@
         """Send the request to one target as soon as the target has a free slot."""
         self._acquire_slot(chosen, request.deadline)
         try:
+            if chosen.paused_until > self.clock.now():
+                raise NotSentFailure("it wants no requests now")
             return self._send_attempt(request, shard, chosen)
         finally:
             chosen.limiter.release()
--- a/packages/cassiastair/cassiastair/forwarding/notice_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/notice_test.py
@@ -11,7 +11,7 @@
 
 from ..errors import CassiastairError, NoTargetError
 from ..targets.failures import RefusedFailure
-from ..targets.notice import TargetNotice
+from ..targets.notice import MAX_PAUSE_S, TargetNotice
 from ..testing import in_virtual_time
 from ..testing.fake_transport import make_reply
 from ..testing.forwarding_bench import (
@@ -22,7 +22,6 @@
     make_target,
 )
 from ..testing.virtual_time import run_in_virtual_time
-from .send import MAX_PAUSE_S
 from .target_registry import LEFT_MEMORY_S
 
 PATH = "/one/x"
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -20,7 +20,6 @@
 from .target_stats import RoutedTargetStats
 from .transport import TargetReply
 
-MAX_PAUSE_S = 600.0  # a target that names a longer time is tried again after this
 ABANDONED_SEND_S = 0.35  # time for an abandoned send to end and keep its connection
 
 
@@ -176,13 +175,16 @@
             )
             return
         now = deps.clock.now()
-        pause = min(notice.pause, MAX_PAUSE_S)
+        until = notice.find_pause_end(now)
         if self.stats.paused_until <= now:
             deps.decision_log.warn(
-                "target paused", request.attempt_id, target=target.name, seconds=pause
+                "target paused",
+                request.attempt_id,
+                target=target.name,
+                seconds=round(until - now, 3),
             )
-        deps.registry.record_pause(self.stats, now + pause)
-        deps.transport.pause(target, now + pause)
+        deps.registry.record_pause(self.stats, until)
+        deps.transport.pause(target, until)
 
     def record_late(self) -> float:
         """Record that the target has not answered so far.
--- a/packages/cassiastair/cassiastair/search/scatter.py
+++ b/packages/cassiastair/cassiastair/search/scatter.py
@@ -18,8 +18,10 @@
     BadAnswerFailure,
     ConnectFailure,
     NotHeldFailure,
+    NotSentFailure,
     TargetFailure,
 )
+from ..targets.registry import find_unpaused
 from ..targets.target_stats import TargetStats
 from ..traces import Span
 from .dependencies import SearchDependencies
@@ -149,6 +151,7 @@
         task.started_at = self._deps.clock.now()
         task.tail_tolerance.hedge.record_subrequests(1)
         task.tail_tolerance.retries.deposit(1)
+        holders = find_unpaused(holders, task.started_at)
         if not holders:
             self._finish_without_target(task)
             return
@@ -178,9 +181,10 @@
     def _find_untried(self, task: ShardTask) -> list[TargetStats]:
         """Return the targets not tried this round that may hold the snapshot."""
         held = self._deps.held_versions
+        registered = self._deps.registry.candidates(task.service, task.shard)
         return [
             candidate
-            for candidate in self._deps.registry.candidates(task.service, task.shard)
+            for candidate in find_unpaused(registered, self._deps.clock.now())
             if candidate.name not in task.tried
             and held.may_hold(candidate.name, self._snapshot)
         ]
@@ -188,9 +192,10 @@
     def _finish_without_target(self, task: ShardTask) -> None:
         """End a shard for which no target can be tried."""
         registered = self._deps.registry.candidates(task.service, task.shard)
-        self._finish(
-            task, MissingReason.NOT_HELD if registered else MissingReason.NO_TARGET
-        )
+        reason = MissingReason.NOT_HELD if registered else MissingReason.NO_TARGET
+        if len(find_unpaused(registered, self._deps.clock.now())) < len(registered):
+            reason = MissingReason.OVERLOADED
+        self._finish(task, reason)
 
     def _send(self, task: ShardTask, stats: TargetStats, kind: str) -> None:
         """Start an attempt at a target in a new greenlet."""
@@ -218,6 +223,7 @@
         try:
             outcome = self._read_when_admitted(pending, attempt)
         except TargetFailure as failure:
+            self._deps.observer.record_notice(pending.stats, failure)
             outcome = failure
         self._result_queue.put(AttemptResult(task, attempt.attempt_id, outcome))
         if pending.ended_event is not None:
@@ -230,7 +236,10 @@
         limiter = pending.stats.limiter
         limiter.acquire()
         try:
-            pending.sent_at = self._deps.clock.now()
+            now = self._deps.clock.now()
+            if pending.stats.paused_until > now:
+                raise NotSentFailure("the target wants no requests now")
+            pending.sent_at = now
             return self._deps.client.read(pending.stats.target, attempt)
         finally:
             limiter.release()
@@ -292,8 +301,9 @@
     ) -> None:
         """Record a failure and retry, unless another attempt of the shard is pending.
 
-        Failed connections and targets without the snapshot cost the target next to
-        nothing, so such retries do not spend the retry budget.
+        Failed connections, targets without the snapshot and requests that were not
+        sent cost the target next to nothing, so such retries do not spend the retry
+        budget.
         """
         self._deps.observer.record_failure(pending.stats, failure)
         self._record_span(pending, latency, type(failure).__name__)
@@ -302,7 +312,7 @@
         task.reason = failure.reason
         if task.pending:
             return
-        is_free = isinstance(failure, (ConnectFailure, NotHeldFailure))
+        is_free = isinstance(failure, (ConnectFailure, NotHeldFailure, NotSentFailure))
         if is_free or self._may_retry(task):
             self._retry(task)
         else:
--- a/packages/cassiastair/cassiastair/targets/__init__.py
+++ b/packages/cassiastair/cassiastair/targets/__init__.py
@@ -13,6 +13,7 @@
     ConnectFailure,
     ConnectionLimitFailure,
     NotHeldFailure,
+    NotSentFailure,
     RefusedFailure,
     TargetFailure,
 )
@@ -28,6 +29,7 @@
     "TargetStats",
     "PowerOfTwoChooser",
     "NotHeldFailure",
+    "NotSentFailure",
     "RandomChooser",
     "RefusedFailure",
     "ReportedLoadChooser",
--- a/packages/cassiastair/cassiastair/targets/failures.py
+++ b/packages/cassiastair/cassiastair/targets/failures.py
@@ -88,6 +88,13 @@
         self.incarnation = incarnation
 
 
+class NotSentFailure(TargetFailure):
+    """The request was not sent, because the target wants none for a time."""
+
+    reason = MissingReason.OVERLOADED
+    proves_not_run = True
+
+
 class NotHeldFailure(TargetFailure):
     """The target does not hold the snapshot that was asked for.
 
--- a/packages/cassiastair/cassiastair/targets/notice.py
+++ b/packages/cassiastair/cassiastair/targets/notice.py
@@ -1,7 +1,10 @@
 """What a target says of itself in a reply."""
 
+import math
 from dataclasses import dataclass
 
+MAX_PAUSE_S = 600.0  # a target that names a longer time is tried again after this
+
 
 @dataclass(frozen=True, slots=True)
 class TargetNotice:
@@ -23,5 +26,14 @@
     leaving: bool = False
     pause: float | None = None
 
+    def find_pause_end(self, now: float) -> float | None:
+        """Return the time before which the target wants no requests, within bounds.
+
+        None if it named no time, or one that is unreadable.
+        """
+        if self.pause is None or math.isnan(self.pause):
+            return None
+        return now + min(self.pause, MAX_PAUSE_S)
+
 
 NO_NOTICE = TargetNotice()
--- a/packages/cassiastair/cassiastair/targets/registry.py
+++ b/packages/cassiastair/cassiastair/targets/registry.py
@@ -1,6 +1,7 @@
 """Statistics of all targets, and which targets may get new work."""
 
 import math
+from collections.abc import Sequence
 
 from ..clock import Clock
 from ..data import KeyRange, Target
@@ -110,6 +111,15 @@
         return target.draining or self._draining_targets.is_draining(target.name)
 
 
+def find_unpaused(
+    candidates: Sequence[TargetStats], now: float
+) -> Sequence[TargetStats]:
+    """Return the candidates that take requests now, as far as they have said."""
+    if all(candidate.paused_until <= now for candidate in candidates):
+        return candidates
+    return [c for c in candidates if c.paused_until <= now]
+
+
 def has_same_address(one: Target, other: Target) -> bool:
     """Return True if two states of a target have the same host and port."""
     return (one.host, one.port) == (other.host, other.port)
--- a/packages/cassiastair/cassiastair/targets/target_stats.py
+++ b/packages/cassiastair/cassiastair/targets/target_stats.py
@@ -42,6 +42,8 @@
         Monotonic time of the last answer in seconds.
     probed_at : float
         Monotonic time of the last claimed probe in seconds.
+    paused_until : float
+        Monotonic time in seconds before which the target wants no requests.
     """
 
     __slots__ = (
@@ -54,6 +56,8 @@
         "incarnation",
         "answered_at",
         "probed_at",
+        "paused_until",
+        "_paused_incarnation",
         "_clock",
         "_reported_load",
         "_load_reported_at",
@@ -76,6 +80,8 @@
         self.incarnation = ""
         self.answered_at = 0.0
         self.probed_at = 0.0
+        self.paused_until = float("-inf")
+        self._paused_incarnation = ""
         self._clock = clock
         self._reported_load = 0.0
         self._load_reported_at = 0.0
@@ -102,6 +108,16 @@
             self.limiter.in_progress, self.latency / self.best_latency
         )
 
+    def record_pause(self, until: float, incarnation: str) -> None:
+        """Record that a run of the target wants no requests before a time."""
+        self.paused_until = until
+        self._paused_incarnation = incarnation
+
+    def record_incarnation(self, incarnation: str) -> None:
+        """Record which run of the target answered; a pause of another one ends."""
+        if incarnation != self._paused_incarnation:
+            self.paused_until = float("-inf")
+
     def record_recovery(self) -> None:
         """Record that the target is reachable.
 
--- a/packages/cassiastair/cassiastair/testing/engine_bench.py
+++ b/packages/cassiastair/cassiastair/testing/engine_bench.py
@@ -65,7 +65,7 @@
         self.registry = TargetRegistry(
             catalogue, self.draining_targets, self.clock, self.vm_count
         )
-        self.observer = TargetObserver(self.held, self.draining_targets)
+        self.observer = TargetObserver(self.held, self.draining_targets, self.clock)
         self.dependencies = SearchDependencies(
             catalogue=catalogue,
             registry=self.registry,
--- a/packages/cassiastair/cassiastair/testing/fake_targets.py
+++ b/packages/cassiastair/cassiastair/testing/fake_targets.py
@@ -17,6 +17,7 @@
     TargetClient,
     TargetReport,
 )
+from ..targets.notice import TargetNotice
 
 KEY_STEP = 2**26  # each service has one record at every multiple of this key
 DEFAULT_LATENCY_S = 0.005
@@ -42,6 +43,8 @@
         Name of the target's run.
     load : float
         Load that the target reports.
+    pause : float or None
+        Time in seconds that a refusal names; None if it names none.
     executions : Counter
         Number of executions of each non-idempotent request, by request ID.
     reads : int
@@ -58,6 +61,7 @@
     alter_answer: Callable[[ShardAnswer], ShardAnswer] = lambda answer: answer
     incarnation: str = "run-1"
     load: float = 0.0
+    pause: float | None = None
     executions: Counter = field(default_factory=Counter)
     reads: int = 0
     cancelled: int = 0
@@ -130,7 +134,8 @@
             eventlet.sleep(fake.latency())
             raise BrokenFailure("connection reset")
         if fake.fault in ("shed", "draining"):
-            raise RefusedFailure("refused", fake.fault, fake.incarnation)
+            notice = TargetNotice(leaving=fake.fault == "draining", pause=fake.pause)
+            raise RefusedFailure("refused", fake.fault, fake.incarnation, notice)
         if fake.fault == "silent":
             eventlet.sleep(3600)
 
--- a/packages/cassiastaird/cassiastaird/daemon.py
+++ b/packages/cassiastaird/cassiastaird/daemon.py
@@ -139,7 +139,11 @@
         self.admission = ADMISSIONS[self._settings.admission](clock)
         chooser = CHOOSERS[self._settings.target_choice](self._rng)
         observer = TargetObserver(
-            self.held_versions, self.draining_targets, self.node.broadcast_drain_mark
+            self.held_versions,
+            self.draining_targets,
+            clock,
+            self.node.broadcast_drain_mark,
+            self.node.log_event,
         )
         self.dependencies = SearchDependencies(
             catalogue=catalogue,
--- a/packages/cassiastaird/cassiastaird/targets/client_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/client_test.py
@@ -1,5 +1,7 @@
 """Tests of the target client against a stand-in server over loopback sockets."""
 
+import math
+
 import eventlet
 import pytest
 from cassiastair.data import Attempt, KeyRange, Snapshot, Target
@@ -13,6 +15,7 @@
     TargetFailure,
     TargetRegistry,
 )
+from cassiastair.targets.notice import TargetNotice
 from cassiastair.tickets import Catalogue
 from testtools import TestCase
 
@@ -76,6 +79,21 @@
         assert self.assertRaises(RefusedFailure, self.read).code == "draining"
         assert self.server.counts["connections"] == 1  # not closed by a refusal
 
+    def test_a_refusal_says_that_the_target_leaves_or_names_a_time(self):
+        self.server.change({"pause_ms": 1500})
+        refusal = self.assertRaises(RefusedFailure, self.read)
+        assert refusal.notice == TargetNotice(pause=1.5)
+        self.server.change({"draining": True})
+        refusal = self.assertRaises(RefusedFailure, self.read)
+        assert refusal.notice == TargetNotice(leaving=True)
+
+    def test_a_time_that_is_unreadable_does_not_cost_the_refusal(self):
+        for bad in (-1, "soon", True, [1], {}):
+            self.server.change({"pause_ms": bad})
+            refusal = self.assertRaises(RefusedFailure, self.read)
+            assert math.isnan(refusal.notice.pause), bad
+        assert self.server.counts["connections"] == 1
+
     @pytest.mark.proof(
         promise="own answer", failure="crossed, truncated, malformed answers"
     )
--- a/packages/cassiastaird/cassiastaird/targets/codec.py
+++ b/packages/cassiastaird/cassiastaird/targets/codec.py
@@ -1,5 +1,6 @@
 """Codec of the JSON bodies of the target protocol, see docs/TARGETS.md."""
 
+import math
 from functools import lru_cache
 
 import orjson
@@ -12,6 +13,7 @@
     TargetFailure,
     TargetReport,
 )
+from cassiastair.targets.notice import TargetNotice
 
 NOT_RUN_CODES = {"shed", "draining", "expired"}  # the target did not run the request
 MAX_HELD_SPANS = 64  # spans of held versions in one answer
@@ -170,10 +172,24 @@
             "does not hold the snapshot", decode_held_versions(document["held"])
         )
     if code in NOT_RUN_CODES:
-        return RefusedFailure(f"refused: {code}", code, incarnation)
+        notice = TargetNotice(leaving=code == "draining", pause=read_pause(document))
+        return RefusedFailure(f"refused: {code}", code, incarnation, notice)
     return BadAnswerFailure(f"answered with status {status} and code {code!r}")
 
 
+def read_pause(document: dict) -> float | None:
+    """Return the seconds for which a refusal wants no requests; None without a time.
+
+    Not a number if the time is unreadable; that does not cost the refusal.
+    """
+    value = document.get("pause_ms")
+    if value is None:
+        return None
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        return math.nan
+    return value / 1000
+
+
 def decode_report(raw: bytes) -> TargetReport:
     """Return the decoded report of a target.
 
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -128,6 +128,8 @@
         """Return a refusal if the target is draining or sheds the request."""
         if self.settings.draining:
             return self._refuse(503, attempt, "draining")
+        if self.settings.pause_ms is not None:
+            return self._refuse(503, attempt, "shed", pause_ms=self.settings.pause_ms)
         full = self._in_progress >= self.settings.slots + self.settings.queue_limit
         if full or self._rng.random() < self.settings.shed_share:
             return self._refuse(503, attempt, "shed")
--- a/standins/target_settings.py
+++ b/standins/target_settings.py
@@ -47,6 +47,7 @@
     report_lag_s: float = 0.0  # age of the load in reports
     bad_answer: str = ""  # malformed or wrong answers, one of BAD_ANSWERS
     shed_share: float = 0.0  # fraction of the requests that are shed at random
+    pause_ms: float | None = None  # refuses all requests and names this time
 
 
 BAD_ANSWERS = (
