--- a/standins/slopes/__main__.py
+++ b/standins/slopes/__main__.py
@@ -10,9 +10,15 @@
 import orjson  # noqa: E402
 from loguru import logger  # noqa: E402
 
-from . import daemon, limits, links, state  # noqa: E402
-
-MODULES = {"state": state, "links": links, "limits": limits, "daemon": daemon}
+from . import daemon, limits, links, notices, state  # noqa: E402
+
+MODULES = {
+    "state": state,
+    "links": links,
+    "limits": limits,
+    "notices": notices,
+    "daemon": daemon,
+}
 OUTPUT_PATH = Path("docs") / "slopes.json"
 
 
