Check the port of the metrics page with the settings

The variable was parsed while the modules were imported, so that a wrong one ended the process with a traceback and no log line; it is wrong settings now (status 2, 'process ended').

--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -61,7 +61,6 @@
 from .store_change_applier import StoreChangeApplier
 
 BACKLOG = 1024
-METRICS_PORT = int(os.environ.get("CASSIASTAIRD_METRICS_PORT", "9102"))
 MAINTENANCE_INTERVAL_S = 0.5  # interval of the maintenance task
 MIN_VM_COUNT = 7  # VMs assumed to share limits until more are known
 DEFAULT_CONNECTION_LIMIT = 16  # per target of a service without a limit
@@ -91,6 +90,8 @@
         Log of the process.
     ports : PortWaiter
         Opens the listeners.
+    metrics_port : int
+        TCP port of the metrics page.
     replace_part : callable
         Returns the class to build instead of a part's class, see `ablation`.
 
@@ -108,6 +109,7 @@
         make_store_client,
         log: EventLog,
         ports: PortWaiter,
+        metrics_port: int,
         replace_part: Callable[[type], type] = lambda part: part,
     ):
         self.settings = settings
@@ -128,7 +130,7 @@
         # the listener for callers earlier, whom nobody would serve here meanwhile.
         self._peer_server = ports.open(PeerServer, *settings.peer_address)
         self._ready_listener = ports.open(listen, *settings.ready_address)
-        self._metrics_listener = ports.open(listen, settings.host, METRICS_PORT)
+        self._metrics_listener = ports.open(listen, settings.host, metrics_port)
         self._caller_listener = ports.open(listen, *settings.caller_address)
 
     def _make_own_vm(self) -> Vm:
--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -14,7 +14,7 @@
 
 import signal  # noqa: E402
 import sys  # noqa: E402
-from collections.abc import Callable  # noqa: E402
+from collections.abc import Callable, Mapping  # noqa: E402
 
 from cassiastair.clock import Clock  # noqa: E402
 from cassiastair.errors import SettingsError  # noqa: E402
@@ -37,6 +37,9 @@
 EXIT_NO_PORT = 3
 EXIT_HARD_STOP = 4
 EXIT_UNEXPECTED_ERROR = 5
+METRICS_PORT_VARIABLE = "CASSIASTAIRD_METRICS_PORT"
+DEFAULT_METRICS_PORT = "9102"
+MAX_PORT = 65_535
 SETTINGS_TIMEOUT_S = 5.0  # for a settings file that is being written
 SETTINGS_POLL_S = 0.1
 
@@ -113,6 +116,7 @@
     try:
         read_settings()
         read_replacements(os.environ)
+        read_metrics_port(os.environ)
     except SettingsError as error:
         print(f"settings are wrong; {error.remedy}:\n{error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
@@ -160,6 +164,7 @@
 
     try:
         replace_part = read_replacements(os.environ)
+        metrics_port = read_metrics_port(os.environ)
         settings = wait_for_settings(read_settings, clock, sleep, log)
     except SettingsError as error:
         cause = f"settings are wrong; {error.remedy}: {error}"
@@ -173,7 +178,14 @@
     )
     try:
         daemon = EntryDaemon(
-            settings, codec, decoder, make_store_client, log, ports, replace_part
+            settings,
+            codec,
+            decoder,
+            make_store_client,
+            log,
+            ports,
+            metrics_port,
+            replace_part,
         )
     except OSError as error:
         cause = f"cannot listen; choose free ports: {error}"
@@ -194,6 +206,20 @@
     return EXIT_HARD_STOP, "stop requested; requests were answered unfinished"
 
 
+def read_metrics_port(environment: Mapping[str, str]) -> int:
+    """Return the port of the metrics page.
+
+    Raises
+    ------
+    SettingsError
+        If the variable is not a port.
+    """
+    text = environment.get(METRICS_PORT_VARIABLE, DEFAULT_METRICS_PORT)
+    if not (text.isascii() and text.isdigit() and 1 <= int(text) <= MAX_PORT):
+        raise SettingsError(f"{METRICS_PORT_VARIABLE}: {text[:80]!r} is not a port")
+    return int(text)
+
+
 def wait_for_settings(
     read_settings: Callable[[], EntrySettings],
     clock: Clock,
--- a/packages/cassiastaird/cassiastaird/entry/main_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/main_test.py
@@ -6,7 +6,7 @@
 from cassiastair.errors import SettingsError
 from testtools import TestCase
 
-from .main import SETTINGS_TIMEOUT_S, wait_for_settings
+from .main import SETTINGS_TIMEOUT_S, read_metrics_port, wait_for_settings
 
 
 class TestWaitForSettings(TestCase):
@@ -33,3 +33,16 @@
         read_settings = mock.Mock(side_effect=SettingsError("empty"))
         self.assertRaises(SettingsError, self.wait, read_settings)
         assert SETTINGS_TIMEOUT_S <= self.clock.now() - started_at < 6.0
+
+
+class TestMetricsPort(TestCase):
+    """Port of the metrics page from the environment."""
+
+    def test_a_port_is_read(self):
+        assert read_metrics_port({}) == 9102
+        assert read_metrics_port({"CASSIASTAIRD_METRICS_PORT": "80"}) == 80
+
+    def test_other_texts_are_wrong_settings(self):
+        for text in ("", "x", "0", "-1", "65536", "\u0661"):
+            environment = {"CASSIASTAIRD_METRICS_PORT": text}
+            self.assertRaises(SettingsError, read_metrics_port, environment)
