Bound what the store may send

A reply of the store was read whole whatever its size, so that a store that sends without end takes a VM above its memory. Replies are now streamed, and one reading, all its pages together, is bounded to 0.32 of the memory limit: on a VM of 128 MB that is more than 75,000 entries of 300 bytes take, also in a single page.

--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -68,6 +68,7 @@
 CROSS_DEGREE = 2  # links to other data centres, which form one ring
 ACCEPTING_SHARE = 0.5  # share of the stop grace for which connections are accepted
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
+STORE_READ_SHARE = 0.32  # of the memory, for one reading of the store
 REPLY_SHARE = 0.2  # of the memory, for replies that are being received
 STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are ended
 FINAL_ANSWERS_S = 0.1  # time to write the answers of requests that are ended
@@ -85,7 +86,8 @@
     decoder : ItemDecoder
         Decodes the items of the platform's store.
     make_store_client : callable
-        Returns a client of the store, given its host and port.
+        Returns a client of the store, given its host and port and the bound on the
+        bytes that it reads at a time.
     log : EventLog
         Log of the process.
     ports : PortWaiter
@@ -125,7 +127,9 @@
         self._paused_targets: set[str] = set()
         self.own = self._make_own_vm()
         self._wire_forwarding(codec)
-        self._wire_replication(decoder, make_store_client(*settings.store_address))
+        max_read_bytes = int(STORE_READ_SHARE * settings.memory_bytes)
+        store = make_store_client(*settings.store_address, max_read_bytes)
+        self._wire_replication(decoder, store)
         # The peer port comes first: a previous process holds it to its end, but closes
         # the listener for callers earlier, whom nobody would serve here meanwhile.
         self._peer_server = ports.open(PeerServer, *settings.peer_address)
