Return memory to the system after a crest

The memory that callers had made a VM hold stayed with the process after they had left. After most of what was held is released, the heap is collected and trimmed at a few checks of the maintenance task. Nothing happens where the crest stays under a tenth of the limit, or the C library is not glibc.

--- a/packages/cassiastaird/cassiastaird/entry/entry_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_memory.py
@@ -27,6 +27,7 @@
 WAIT_POLL_S = 0.2  # interval of checks whether a waiting caller has left
 QUIET_S = 5.0  # time without a shortage after which the pressure is over
 CREST_SHARE = 0.1  # of the limit; less than this is reused without returning it
+RETURNS_AFTER_CREST = 8  # one at each check
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -78,6 +79,7 @@
         self._shortage_count = 0
         self._shortage_at = float("-inf")
         self._crest = 0
+        self._returns_left = RETURNS_AFTER_CREST
 
     def _compute_limit(self, idle_bytes: int) -> int:
         """Return the limit of the account for a process that is this large idle."""
@@ -100,11 +102,7 @@
         """
         now = self._clock.now()
         held = self.account.held
-        self._crest = max(self._crest, held)
-        is_low = held < self._crest / 4
-        if is_low and self._crest > CREST_SHARE * self.account.limit:
-            self._return_memory()
-            self._crest = held
+        self._return_after_crest(held)
         if self.account.has_waits or self.account.shortage_count > self._shortage_count:
             self._shortage_count = self.account.shortage_count
             self._shortage_at = now
@@ -114,6 +112,20 @@
         self._under_pressure = is_pressed
         return "begin" if is_pressed else "end"
 
+    def _return_after_crest(self, held: int) -> None:
+        """Return memory a few times after most of what was held is released.
+
+        The last connections end later than most, and free more blocks of the heap.
+        """
+        self._crest = max(self._crest, held)
+        if self._crest < CREST_SHARE * self.account.limit or held > self._crest / 4:
+            self._returns_left = RETURNS_AFTER_CREST
+            return
+        self._return_memory()
+        self._returns_left -= 1
+        if not self._returns_left:
+            self._crest = held
+
     def take_shortage(self) -> int:
         """Return the bytes that wait, or were refused since the last call."""
         refused_size, self.account.refused_size = self.account.refused_size, 0
