Send the signal of a test to the process itself

The test of closed output starts its process without the cluster; it no longer depends on how the cluster finds the process that it signals.

--- a/standins/world/process_life_test.py
+++ b/standins/world/process_life_test.py
@@ -111,7 +111,7 @@
 
     def test_a_failed_task_does_not_end_a_process_with_closed_output(self):
         reader, writer = os.pipe()
-        self.vm.process = subprocess.Popen(
+        process = subprocess.Popen(
             [sys.executable, "-c", START_WITH_FAILING_TASK],
             stdout=writer,
             stderr=writer,
@@ -122,14 +122,16 @@
                 "CASSIASTAIRD_METRICS_PORT": str(self.vm.ports[3]),
             },
         )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
         os.close(writer)
         self.cluster.wait_ready("vm0")
         os.close(reader)
-        self.cluster.send_signal("vm0", signal.SIGUSR1)
+        process.send_signal(signal.SIGUSR1)
         # The task runs before the second answer at the latest.
         assert self.cluster.is_ready("vm0")
         assert self.cluster.is_ready("vm0")
-        assert self.vm.process.poll() is None
+        assert process.poll() is None
 
 
 # Starts the daemon; SIGUSR1 then makes a task fail outside all handling of errors.
