Drop a caller's bytes when its connection ends

A connection's reader and its parser refer to each other, so that the body of a request whose caller had left, or was refused, stayed until the next collection of garbage, while the account had it released.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -6,6 +6,7 @@
 
 import struct
 from contextlib import suppress
+from itertools import islice
 
 import eventlet
 from cassiastair.errors import (
@@ -102,6 +103,7 @@
                 self._discard_rest()
         finally:
             self._stop_serving()
+            self._reader.close()
             self._memory.close()
             self._sock.close()
 
@@ -148,7 +150,7 @@
         an answer that the caller has not read.
         """
         with eventlet.Timeout(LINGER_S, False):
-            while self._sock.recv(HEAD_RECEIVE_BYTES):
+            while self._sock.recv(RECEIVE_BYTES):
                 pass
 
     def _handle_data(self, data: bytes) -> None:
@@ -164,8 +166,7 @@
             self._reader.feed(data)
         except CassiastairError as failure:
             error = failure
-        for index in range(complete_count, len(self._reader.requests)):
-            request, _ = self._reader.requests[index]
+        for request, _ in islice(self._reader.requests, complete_count, None):
             if not self._memory.add_complete(request):
                 self._closing = self._lingers = True
         self._start_serving(error)
--- a/packages/cassiastaird/cassiastaird/entry/connection_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/connection_memory.py
@@ -111,7 +111,9 @@
                 return True
             arriving[0].release(arriving[1])
         holder = self._memory.requests
-        size = len(request.body) + measure_headers(len(request.headers))
+        size = len(request.body)
+        if len(request.headers) > COVERED_HEADERS:
+            size += measure_headers(len(request.headers))
         if self._complete:  # the connection's own part covers a single head
             size += len(request.url) + sum(len(n) + len(v) for n, v in request.headers)
         is_reserved = not size or holder.try_reserve(size)
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -485,6 +485,16 @@
         self.wait_until_closed()
         assert self.handler.memory.account.held == 0
 
+    def test_a_closed_connection_keeps_no_body_until_a_collection(self):
+        self.send_head(200_000)
+        self.caller.sendall(bytes(150_000))
+        eventlet.sleep(0.01)
+        reader = self.connection._reader
+        assert reader.body_size > 100_000
+        self.caller.close()
+        self.wait_until_closed()
+        assert reader.body_size == 0
+
     def test_an_unread_answer_without_memory_ends_only_its_connection(self):
         answers = self.handler.memory.answers
         assert answers.try_reserve(answers.available)
--- a/packages/cassiastaird/cassiastaird/entry/request_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/request_reader.py
@@ -106,6 +106,14 @@
         if framing > self.limits.header_bytes + allowed:
             raise HeadersTooLargeError("chunk frames and trailers exceed the limit")
 
+    def close(self) -> None:
+        """Drop what was received; parser and reader refer to each other.
+
+        Without this, bodies would stay until the next collection of garbage.
+        """
+        self.requests.clear()
+        self._reset()
+
     def on_message_begin(self) -> None:
         """Record that a request has begun."""
         self.partial = True
--- a/packages/cassiastaird/cassiastaird/send_at_once.py
+++ b/packages/cassiastaird/cassiastaird/send_at_once.py
@@ -15,6 +15,8 @@
         if len(body) <= JOINED_BYTES:
             head, body = head + body, b""
             sent = raw_socket.send(head)
+            if sent == len(head):
+                return []
         else:
             sent = raw_socket.sendmsg((head, body))
     except BlockingIOError:
