Restart the task that closes timed-out connections

It is a task of the daemon now, like the others; its test calls it by the new name and is otherwise unchanged.

--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -94,7 +94,6 @@
         """Accept connections until the listener is closed."""
         self._listener = listener
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        eventlet.spawn_n(self._close_timed_out)
         while True:
             try:
                 sock, _ = listener.accept()
@@ -118,7 +117,7 @@
         self._connections.add(connection)
         eventlet.spawn_n(connection.run)
 
-    def _close_timed_out(self) -> None:
+    def close_timed_out(self) -> None:
         """Close connections that time out, for as long as the process runs."""
         while True:
             eventlet.sleep(TIMEOUT_CHECK_INTERVAL_S)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -351,6 +351,7 @@
         ready = ReadinessServer(self.is_ready, self._make_metrics().render)
         for task, *args in (
             (self.server.run, self._caller_listener),
+            (self.server.close_timed_out,),
             (ready.run, self._ready_listener),
             (ready.run, self._metrics_listener),
             (self._peer_server.run,),
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -513,7 +513,7 @@
         faulty.close_if_timed_out.side_effect = RuntimeError("fault")
         sound = mock.Mock(find_silence=lambda now: 0.0)
         server._connections.update((faulty, sound))
-        task = eventlet.spawn(server._close_timed_out)
+        task = eventlet.spawn(server.close_timed_out)
         self.addCleanup(task.kill)
         with eventlet.Timeout(5.0):
             while faulty.close_if_timed_out.call_count < 2:
