Don't count the suspension of a machine as waiting for a port

The wait was measured by a clock that runs on while the machine is suspended; it counts the time slept now.

A second test holds the peer port only, and fails with the peer port opened last, which no test noticed before.

--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -171,7 +171,6 @@
         raise StartError(cause, EXIT_BAD_SETTINGS) from error
     log.vm = settings.vm
     ports = PortWaiter(
-        clock,
         sleep,
         settings.stop_grace_s + PORT_WAIT_MARGIN_S,
         lambda event, **fields: log.warn(event, "", **fields),
--- a/packages/cassiastaird/cassiastaird/main.py
+++ b/packages/cassiastaird/cassiastaird/main.py
@@ -19,7 +19,6 @@
 from eventlet.event import Event  # noqa: E402
 from loguru import logger  # noqa: E402
 
-from .clock import MonotonicClock  # noqa: E402
 from .daemon import Daemon  # noqa: E402
 from .error_stream import ErrorStream  # noqa: E402
 from .event_loop import send_once, wait_for_event  # noqa: E402
@@ -88,7 +87,7 @@
     signals.set_handler(signal.SIGINT, request_stop)
     signals.set_handler(signal.SIGHUP, report_reload)
     timeout_s = settings.hard_stop_ms / 1000 + PORT_WAIT_MARGIN_S
-    ports = PortWaiter(MonotonicClock(), sleep, timeout_s, logger.info)
+    ports = PortWaiter(sleep, timeout_s, logger.info)
     try:
         daemon = Daemon(settings, ports)
     except OSError as error:
--- a/packages/cassiastaird/cassiastaird/port_waiter.py
+++ b/packages/cassiastaird/cassiastaird/port_waiter.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from cassiastair.clock import Clock
-
 RETRY_INTERVAL_S = 0.1
 PORT_WAIT_MARGIN_S = 2.0  # beyond the time that the previous process has for its stop
 
@@ -21,26 +19,24 @@
 
     Parameters
     ----------
-    clock : Clock
-        Source of time.
     sleep : callable
         Waits for a number of seconds; may raise an exception to give up.
     timeout_s : float
-        Seconds from now after which a port that is in use is an error.
+        Seconds of waiting, for all ports together, after which a port that is in use
+        is an error. Time for which the machine does not run is not counted, since the
+        process that holds the port does not run then either.
     log_event : callable
         Logs an event, given its name and fields.
     """
 
     def __init__(
         self,
-        clock: Clock,
         sleep: Callable[[float], None],
         timeout_s: float,
         log_event: Callable[..., None],
     ):
-        self._clock = clock
         self._sleep = sleep
-        self._deadline = clock.now() + timeout_s
+        self._left_s = timeout_s
         self._log_event = log_event
 
     def open(
@@ -70,9 +66,10 @@
             except OSError as error:
                 if error.errno != errno.EADDRINUSE:
                     raise
-                if self._clock.now() >= self._deadline:
+                if self._left_s <= 0:
                     raise
                 if not waiting:
                     self._log_event("waiting for port", host=host, port=port)
                 waiting = True
             self._sleep(RETRY_INTERVAL_S)
+            self._left_s -= RETRY_INTERVAL_S
--- a/packages/cassiastaird/cassiastaird/port_waiter_test.py
+++ b/packages/cassiastaird/cassiastaird/port_waiter_test.py
@@ -18,7 +18,6 @@
         self.clock = ManualClock()
         self.events = []
         self.waiter = PortWaiter(
-            self.clock,
             self.clock.advance,
             5.0,
             lambda event, **fields: self.events.append((event, fields)),
@@ -54,6 +53,19 @@
             self.waiter.open(self.listen, "127.0.0.1", port)
         assert failure.value.errno == errno.EADDRINUSE
 
+    def test_a_suspended_machine_does_not_use_up_the_timeout(self):
+        holder = self.listen("127.0.0.1", 0)
+        port = holder.getsockname()[1]
+
+        def sleep(seconds):
+            self.clock.advance(100.0)  # the machine is suspended for most of it
+            if self.clock.now() > 1200.0:
+                holder.close()
+
+        waiter = PortWaiter(sleep, 5.0, lambda event, **fields: None)
+        listener = waiter.open(self.listen, "127.0.0.1", port)
+        assert listener.getsockname()[1] == port
+
     def test_an_address_of_another_machine_is_an_error_at_once(self):
         started_at = self.clock.now()
         with pytest.raises(OSError):
--- a/standins/world/process_life_test.py
+++ b/standins/world/process_life_test.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 
 import eventlet
+import pytest
+from eventlet.green import socket
 from testtools import TestCase
 
 from .back_end import BackEndSpec
@@ -79,15 +81,29 @@
         self.addCleanup(predecessor.wait)
         self.addCleanup(predecessor.kill)
         self.cluster.send_signal("vm0", signal.SIGTERM)
+        predecessor.send_signal(signal.SIGSTOP)  # holds its ports until SIGCONT
         self.vm.process = None
         self.cluster.start("vm0")
         self.wait_for_event("waiting for port")
+        predecessor.send_signal(signal.SIGCONT)
         while predecessor.poll() is None:
             assert self.vm.process.poll() is None
             eventlet.sleep(0.05)
         assert predecessor.returncode == 0
         self.cluster.wait_ready("vm0")
 
+    def test_a_waiting_start_accepts_no_connections(self):
+        vm = self.vm
+        holder = socket.create_server((vm.host, vm.ports[2]))
+        self.addCleanup(holder.close)
+        self.cluster.start("vm0")
+        self.wait_for_event("waiting for port")
+        for port in (vm.ports[0], vm.ports[1]):
+            with pytest.raises(ConnectionRefusedError):
+                eventlet.connect((vm.host, port))
+        holder.close()
+        self.cluster.wait_ready("vm0")
+
 
 class TestSettingsDuringStart(ProcessTestCase):
     """Settings that are incomplete when a process starts."""
