Log values that JSON cannot hold as text

Review of the incident: a task that failed with a message of a lone surrogate ended the process with status 1 and no last line: the event log raised TypeError for it, in the stream for standard error, in the report on the event loop and in the last line. A line that cannot be encoded is now written with its fields as ASCII text.

--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -654,6 +654,14 @@
             self.clock.advance(1.0)
         assert self.log.dropped > 0
 
+    def test_values_that_json_lacks_are_logged_as_text(self):
+        self.log.warn("task ended", "r\udc80", reason="odd \udc80", number=2**70)
+        self.log.warn_last("process ended", cause="odd \udc80")
+        ended, last = self.read()
+        assert (ended["event"], last["event"]) == ("task ended", "process ended")
+        assert str(2**70) in ended["number"]
+        assert "odd" in last["cause"]
+
     def test_the_last_line_is_written_above_the_rate_limit(self):
         for number in range(MAX_BURST_LINES + 50):
             self.log.warn("not served", f"r{number}")
--- a/packages/cassiastaird/cassiastaird/entry/event_log.py
+++ b/packages/cassiastaird/cassiastaird/entry/event_log.py
@@ -80,7 +80,11 @@
         line.update(fields)
         if self.dropped:
             line["dropped"] = self.dropped
-        return orjson.dumps(line, default=str) + b"\n"
+        try:
+            return orjson.dumps(line, default=str) + b"\n"
+        except TypeError:  # a lone surrogate, or a number of more than 64 bits
+            text = {name: ascii(value) for name, value in fields.items()}
+            return orjson.dumps({"event": event, "vm": ascii(self.vm)} | text) + b"\n"
 
     def warn_last(self, event: str, **fields: object) -> None:
         """Log the event that ends the process, whatever the rate limit.
