End a target's reply to HEAD with its head

A caller's HEAD was passed on, and the reply read as if a body followed. A reply that named a length, as it should, was waited for until the deadline. A reply with a body, which must not have one, was passed on with it, and the caller takes that for the start of its next answer. The reader now ends such a reply with its head, drops what follows and closes the connection.

Seen to fail before: test_a_reply_to_head_needs_no_body (a wait without end). It or test_a_reply_to_head_cut_in_its_head_is_no_reply fails when the head does not end the reply, the connection is kept, an interim reply ends it, or the body is passed on. Errors to HEAD still bear a body (404, 49 bytes); that is the caller's connection, which is not changed here.

--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -1,13 +1,25 @@
 """Parses a target's complete reply with its headers."""
 
-from ..targets.reply_reader import BadReplyError, ReplyReader
+from ..targets.reply_reader import INTERIM_STATUSES, BadReplyError, ReplyReader
 from .http_message import HttpReply
 
 
 class FullReplyReader(ReplyReader):
-    """Reply reader that keeps headers and accepts replies ended by a close."""
+    """Reply reader that keeps headers and accepts replies ended by a close.
 
-    __slots__ = ("_headers", "_head_done")
+    Attributes
+    ----------
+    expects_body : bool
+        Whether a body may follow the head, which is not so after HEAD. The parser would
+        wait for it, so a connection is not reused after such a reply.
+    """
+
+    __slots__ = ("expects_body", "_headers", "_head_done")
+
+    def reset(self) -> None:
+        """Make the reader ready for the next reply on the same connection."""
+        super().reset()
+        self.expects_body = True
 
     def _forget_message(self) -> None:
         """Drop the headers too."""
@@ -24,6 +36,9 @@
         """Record that all headers were received."""
         super().on_headers_complete()
         self._head_done = True
+        if not self.expects_body and self.status not in INTERIM_STATUSES:
+            self.done = True
+            self.keep_alive = False
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; none means that the connection was closed.
@@ -50,4 +65,7 @@
 
     def build_reply(self) -> HttpReply:
         """Return the reply; it must be done."""
-        return HttpReply(self.status, tuple(self._headers), self.take_body())
+        body = self.take_body()
+        if not self.expects_body:
+            body = b""
+        return HttpReply(self.status, tuple(self._headers), body)
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -100,6 +100,7 @@
             reader = connection.reader = FullReplyReader(self._memory)
         else:
             reader.reset()
+        reader.expects_body = not request.head.startswith(b"HEAD ")
         connection.last_attempt = request.attempt_id
         try:
             connection.exchange_with(head, reader, request.body)
