Don't hedge a shard that waits for a retry

A search's hedge timer also fired while a shard backed off for want of budget. The hedge took the place of the retry; the retry then found no attempt left, and the shard was left out with its hedge still pending.

test_a_shard_that_backs_off_is_not_hedged fails without the check.

--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -274,6 +274,8 @@
 
     def _hedge(self, shard: ShardState) -> None:
         """Send to a second target of a shard that has not answered in time."""
+        if not shard.pending_count:
+            return  # a retry is due after a backoff
         for send in shard.sends:
             if not send.ended:
                 send.record_late()
@@ -325,14 +327,10 @@
                 self._give_up(shard)
         self._log_failure(shard, send, waited, no_retry)
 
-    def _retry_or_back_off(self, shard: ShardState, failed: Send):
-        """Retry at a shard or back off.
-
-        Returns
-        -------
-        UnsentReason or None
-            Why neither is done, if so.
-        """
+    def _retry_or_back_off(
+        self, shard: ShardState, failed: Send
+    ) -> UnsentReason | None:
+        """Retry at a shard or back off; return the reason if neither is done."""
         if shard.pending_count:
             return UnsentReason.PENDING
         if self._deps.clock.now() >= self._deadlines.deadline:
--- a/packages/cassiastair/cassiastair/forwarding/unsent_reason_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/unsent_reason_test.py
@@ -210,3 +210,14 @@
         run(bench, "/a/x", 1.0)
         reasons = list_reasons(bench, "send failed", "backoff")
         assert reasons == [UnsentReason.BUDGET]
+
+    @in_virtual_time
+    def test_a_shard_that_backs_off_is_not_hedged(self, clock):
+        bench = ForwardingBench(clock)
+        bench.set_up([make_search_route(4, 0.5)])
+        for number in range(2):
+            bench.transport.get(f"s0.{number}").override = lambda: BROKEN
+        use_up_budget(bench, "s0")
+        run(bench, "/a/x", 1.0)
+        assert list_reasons(bench, "send failed", "backoff") == [UnsentReason.BUDGET]
+        assert list_reasons(bench, "hedge not sent", "reason") == []
