Play starts of VMs under signals and beside predecessors

From outside it is checked that no process ends unless asked (SIGKILL explains -9, SIGTERM and SIGINT explain 0 and nothing else), that an exit has its cause as the last line of its log, that the VM is ready afterwards with the newest configuration and settings (a new graceS, by which the process has to stop), and that its memory stays under memoryMb, which the settings of the cluster now name.

No program can handle a signal before its first instruction.

Each process of a VM has a log of its own, and starts with the default actions of signals also under nohup.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONWARNINGS := ignore::DeprecationWarning
 
-.PHONY: setup demo demo-platform test lint format prove explore bench slopes soak golden settings
+.PHONY: setup demo demo-platform test lint format prove explore bench slopes soak starts golden settings
 
 setup: $(VENV)/.installed
 
@@ -50,6 +50,9 @@
 soak: setup
 	$(BIN)/python -m standins.soak --seeds $(or $(SEEDS),3) $(if $(SEED),--seed $(SEED))
 
+starts: setup
+	$(BIN)/python -m standins.soak.starts $(if $(SEED),--seed $(SEED))
+
 golden: setup
 	RECORD_GOLDEN=1 $(BIN)/python -m pytest -q standins/golden_test.py standins/world/golden_test.py
 
--- a/standins/world/cluster.py
+++ b/standins/world/cluster.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import eventlet
@@ -15,12 +15,15 @@
 from .back_end import BackEnd, BackEndSpec
 from .http_messages import MessageReader, encode_message
 from .store import Store
+from .vm_process import VmProcess, read_end
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "search.example"  # Host header that the routes match
 ZONES = ("north", "south", "west")
 READY_TIMEOUT_S = 20.0  # allows for a busy machine
 POLL_INTERVAL_S = 0.05
+DEFAULT_GRACE_S = 6.0  # for which a VM that stops may serve
+MEMORY_MB = 300  # limit of the memory of a VM's process
 SETTINGS_TEMPLATE = """\
 nodeName = "{name}"
 zone = "{zone}"
@@ -32,9 +35,10 @@
 control = "{host}:{control}"
 [limits]
 maxFds = 4096
+memoryMb = {memory_mb}
 [bounds]
 drainMs = 3000
-graceS = 6
+graceS = {grace_s:g}
 configApplyMs = 3000
 retryBudgetRatio = 0.2
 retryWindowS = 10
@@ -59,9 +63,13 @@
     ports : tuple of int
         Ports for callers, readiness, peers and metrics.
     settings_path, log_path : Path
-        Files with the settings and the output of the process.
+        Files with the settings and the output of the latest process.
+    settings_fields : dict
+        Values of the settings, by their names in `SETTINGS_TEMPLATE`.
     process : subprocess.Popen or None
         Latest process; None before the first start.
+    processes : list of VmProcess
+        All processes, oldest first.
     """
 
     name: str
@@ -70,13 +78,32 @@
     ports: tuple[int, int, int, int]
     settings_path: Path
     log_path: Path
+    settings_fields: dict[str, object]
     process: subprocess.Popen | None = None
+    processes: list[VmProcess] = field(default_factory=list)
 
     @property
     def caller_address(self) -> tuple[str, int]:
         """Address that serves callers."""
         return self.host, self.ports[0]
 
+    @property
+    def latest(self) -> VmProcess | None:
+        """Latest process; one that was not started by the cluster is added first."""
+        if self.process is None:
+            return None
+        if not self.processes or self.processes[-1].popen is not self.process:
+            started_at = time.monotonic()
+            process = VmProcess(self.name, self.process, self.log_path, started_at)
+            self.processes.append(process)
+        return self.processes[-1]
+
+    def write_settings(self, **changes: object) -> None:
+        """Write the settings file; changed fields also hold for later writes."""
+        self.settings_fields |= changes
+        text = SETTINGS_TEMPLATE.format(**self.settings_fields)
+        self.settings_path.write_text(text)
+
 
 class Cluster:
     """A store and back ends in this process, and entry VMs in processes of their own.
@@ -165,45 +192,62 @@
             vm_ports = tuple(ports[4 * index : 4 * index + 4])
             settings_path = self.folder / f"{name}.toml"
             zone = ZONES[index % len(ZONES)]
-            settings_path.write_text(
-                SETTINGS_TEMPLATE.format(
-                    name=name,
-                    zone=zone,
-                    host=host,
-                    seeds=seeds,
-                    front=vm_ports[0],
-                    ready=vm_ports[1],
-                    control=vm_ports[2],
-                    store=f"{address[0]}:{address[1]}",
-                )
-            )
-            log_path = self.folder / f"{name}.log"
-            self.vms[name] = EntryVm(
-                name, zone, host, vm_ports, settings_path, log_path
-            )
-
-    def start(self, name: str) -> None:
+            fields = {
+                "name": name,
+                "zone": zone,
+                "host": host,
+                "seeds": seeds,
+                "front": vm_ports[0],
+                "ready": vm_ports[1],
+                "control": vm_ports[2],
+                "memory_mb": MEMORY_MB,
+                "grace_s": DEFAULT_GRACE_S,
+                "store": f"{address[0]}:{address[1]}",
+            }
+            log_path = self.folder / f"{name}-0.log"
+            vm = EntryVm(name, zone, host, vm_ports, settings_path, log_path, fields)
+            vm.write_settings()
+            self.vms[name] = vm
+
+    def start(
+        self, name: str, beside_old: bool = False, has_log_reader: bool = True
+    ) -> None:
         """Start a VM's process unless it runs.
 
         Overlapping faults may each start the same VM.
+
+        Parameters
+        ----------
+        name : str
+            Name of the VM.
+        beside_old : bool
+            Start a process even if the one before it, which must have been asked to
+            stop, still runs.
+        has_log_reader : bool
+            Whether the output goes to the log; if not, to a pipe without a reader.
         """
         vm = self.vms[name]
-        if vm.process is not None and vm.process.poll() is None:
+        is_running = vm.process is not None and vm.process.poll() is None
+        if is_running and not (beside_old and vm.latest.was_asked_to_stop):
             return
         env = {
             **os.environ,
             "CASSIASTAIR_BOOT": str(vm.settings_path),
             "CASSIASTAIRD_METRICS_PORT": str(vm.ports[3]),
         }
-        with vm.log_path.open("ab") as log_file:
+        started_at = self.clock()
+        vm.log_path = self.folder / f"{name}-{len(vm.processes)}.log"
+        with vm.log_path.open("ab") if has_log_reader else open_unread() as output:
             vm.process = subprocess.Popen(
                 [sys.executable, "deploy/start.py"],
-                stdout=log_file,
-                stderr=log_file,
+                stdout=output,
+                stderr=output,
                 cwd=ROOT,
                 env=env,
                 start_new_session=True,
+                preexec_fn=reset_signals,
             )
+        vm.processes.append(VmProcess(name, vm.process, vm.log_path, started_at))
 
     def start_all(self) -> None:
         """Start all VMs and wait until they are ready."""
@@ -251,15 +295,15 @@
         deadline = self.clock() + timeout_s
         while not self.is_ready(name):
             if self.clock() > deadline:
-                log_end = self.vms[name].log_path.read_text()[-2000:]
+                log_end = read_end(self.vms[name].log_path)
                 raise TimeoutError(f"{name} is not ready: {log_end}")
             eventlet.sleep(POLL_INTERVAL_S)
 
     def send_signal(self, name: str, signal_number: int) -> None:
-        """Send a signal to a VM's process if it runs."""
-        process = self.vms[name].process
-        if process is not None and process.poll() is None:
-            os.kill(process.pid, signal_number)
+        """Send a signal to a VM's latest process if it runs."""
+        process = self.vms[name].latest
+        if process is not None:
+            process.send(signal_number)
 
     def wait_exit(self, name: str, timeout_s: float) -> int | None:
         """Wait until a VM's process exits.
@@ -274,11 +318,11 @@
 
     def stop(self) -> None:
         """Kill the VMs' processes and stop the back ends and the store."""
-        for name, vm in self.vms.items():
-            self.send_signal(name, signal.SIGCONT)
-            self.send_signal(name, signal.SIGKILL)
-            if vm.process is not None:
-                vm.process.wait()
+        for vm in self.vms.values():
+            self.send_signal(vm.name, signal.SIGKILL)
+            for process in vm.processes:
+                process.send(signal.SIGKILL)
+                process.popen.wait()
         for back_end in self.back_ends.values():
             back_end.stop()
         self.store.stop()
@@ -291,6 +335,19 @@
         self.stop()
 
 
+def reset_signals() -> None:
+    """Have signals take their default action, also if this process ignores them."""
+    for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.SIG_DFL)
+
+
+def open_unread():
+    """Return the writing end of a pipe whose reading end is closed."""
+    reading_end, writing_end = os.pipe()
+    os.close(reading_end)
+    return open(writing_end, "wb", buffering=0)
+
+
 def make_loopback_host(pid: int) -> str:
     """Return a loopback address that depends on a process ID.
 
