Play starts, stalling callers and endless answers in the soak

From outside it is checked that no process ends unless asked and that its memory stays under memoryMb (300).

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -42,6 +42,9 @@
             soak = Soak(number, path)
             print(f"seed {number}:", *soak.describe(), sep="\n  ", flush=True)
             violations = soak.run()
+        for line in soak.early_ends:
+            print(f"  before its first instruction: {line}", flush=True)
+        print(f"  largest process: {soak.peak_bytes / 1e6:.0f} MB", flush=True)
         failed += bool(violations)
         print(f"seed {number}: {'FAILED' if violations else 'passed'}", flush=True)
         for line in violations[:20]:
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -31,8 +31,27 @@
     "reload",
 )
 NOTICE_KINDS = ("target_leaves", "targets_pause")
-STEP_KINDS = (*FAULT_KINDS, *NOTICE_KINDS)
+LIFE_KINDS = (
+    "reload_at_start",
+    "stop_at_start",
+    "overlapped_start",
+    "settings_incomplete",
+    "log_reader_gone",
+    "callers_stall_in_head",
+    "callers_stall_in_body",
+    "callers_do_not_read",
+    "callers_pipeline",
+    "store_stalls",
+    "store_sends_without_end",
+    "target_stalls",
+    "target_sends_without_end",
+)
+STEP_KINDS = (*FAULT_KINDS, *NOTICE_KINDS, *LIFE_KINDS)
 NOTICE_SHARE = 0.6  # of the plans that have a step in which a target says something
+LIFE_SHARE = 0.8  # of the plans with steps on a process's life and what it must hold
+MAX_LIFE_STEPS = 5
+MIN_DURATION_S = 0.3
+MAX_DURATION_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +82,11 @@
             f"for {self.duration_s:.2f} s ({self.choice})"
         )
 
+    def spread(self, low: float, high: float) -> float:
+        """Return the duration, mapped from its own range to another one."""
+        share = (self.duration_s - MIN_DURATION_S) / (MAX_DURATION_S - MIN_DURATION_S)
+        return low + share * (high - low)
+
 
 def select_name(names: list[str], choice: float) -> str:
     """Return the name that a number from 0 to 1, both included, selects."""
@@ -74,7 +98,7 @@
     return Step(
         starts_at=round(rng.uniform(0.5, FAULT_PHASE_S), 2),
         kind=rng.choice(kinds),
-        duration_s=round(rng.uniform(0.3, 3.0), 2),
+        duration_s=round(rng.uniform(MIN_DURATION_S, MAX_DURATION_S), 2),
         choice=round(rng.random(), 3),
     )
 
@@ -87,4 +111,8 @@
     # Drawn last, so that the steps above are those that a seed always had.
     if rng.random() < NOTICE_SHARE:
         steps.append(draw_step(rng, NOTICE_KINDS))
+    # Drawn after those, for the same reason.
+    if rng.random() < LIFE_SHARE:
+        count = rng.randint(1, MAX_LIFE_STEPS)
+        steps += [draw_step(rng, LIFE_KINDS) for _ in range(count)]
     return sorted(steps, key=lambda step: step.starts_at)
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -1,6 +1,7 @@
 """Run of a soak test: cluster, callers, the steps of a plan and the checks."""
 
 import signal
+from dataclasses import replace
 from pathlib import Path
 
 import eventlet
@@ -8,8 +9,11 @@
 from ..world.back_end import BackEndSpec
 from ..world.caller import Caller
 from ..world.cluster import HOST, Cluster, make_desk_route, make_search_route
+from ..world.vm_process import measure_earliest_handler
 from .checks import Observations, find_violations
+from .life_steps import LifeSteps
 from .plan import FAULT_PHASE_S, SHARD_COUNT, VM_COUNT, Step, draw_plan, select_name
+from .process_checks import check_processes, check_stops, find_peak
 from .proxy import FaultProxy
 
 CALLER_COUNT = 6
@@ -18,6 +22,8 @@
 RECOVERY_TIMEOUT_S = 12.0  # for each VM to serve again after the traffic
 RESTART_DELAY_S = 0.3  # from the exit of a VM's process to its next start
 DESK_COUNT = 3
+OBSERVE_INTERVAL_S = 0.2  # between two looks at the VMs' processes
+ENDLESS_S = (2.0, 6.0)  # for which the store sends without end
 LIMIT_S = 6.0  # shortest time for which targets name a limit
 LEAVING_S = 6.0  # from a target's own word to that of the store; twice the drain limit
 ZONES = ("north", "south")
@@ -45,6 +51,10 @@
         self._tasks: list = []
         self._stopping = False
         self._unrecovered: list[str] = []
+        self._life: LifeSteps | None = None
+        self._earliest_s = 0.0
+        self.early_ends: list[str] = []  # by signals that no program could handle
+        self.peak_bytes = 0  # largest memory of a VM's process
 
     def describe(self) -> list[str]:
         """Return a line for each step of the plan."""
@@ -55,9 +65,16 @@
         try:
             self._set_up()
             self._run_plan()
-            return (
-                find_violations(self._cluster, self._observations) + self._unrecovered
-            )
+            late = check_stops(self._cluster)
+            self.peak_bytes = find_peak(self._cluster)
+            own_ends, self.early_ends = check_processes(self._cluster, self._earliest_s)
+            return [
+                *own_ends,
+                *late,
+                *self._life.violations,
+                *find_violations(self._cluster, self._observations),
+                *self._unrecovered,
+            ]
         finally:
             self._stop_all()
 
@@ -67,8 +84,19 @@
             self._add_target("desk", f"desk-{number}", ZONES[number % 2])
         self._reshard()
         self._cluster.add_vms(VM_COUNT, self._store_proxy.address)
+        self._life = LifeSteps(self._cluster, self._record_disturbance)
+        self._earliest_s = measure_earliest_handler()
+        self._tasks.append(eventlet.spawn(self._observe_processes))
         self._cluster.start_all()
 
+    def _observe_processes(self) -> None:
+        """Read the memory and the ends of the VMs' processes at intervals."""
+        while True:
+            for vm in self._cluster.vms.values():
+                for process in vm.processes:
+                    process.observe()
+            eventlet.sleep(OBSERVE_INTERVAL_S)
+
     def _add_target(self, service: str, name: str, zone: str) -> None:
         """Start a back end that registers with the address of its own proxy."""
         cluster = self._cluster
@@ -151,7 +179,10 @@
 
     def _run_step(self, step: Step) -> None:
         """Run the method for the kind of a step."""
-        getattr(self, f"_do_{step.kind}")(step)
+        if hasattr(self._life, f"do_{step.kind}"):
+            self._life.run(step)
+        else:
+            getattr(self, f"_do_{step.kind}")(step)
 
     def _record_disturbance(self, name: str, duration_s: float) -> None:
         """Record that a VM or the store is disturbed from now on."""
@@ -199,9 +230,10 @@
     def _do_pause(self, step: Step) -> None:
         name = self._pick_vm(step)
         self._record_disturbance(name, step.duration_s)
-        self._cluster.send_signal(name, signal.SIGSTOP)
+        process = self._cluster.vms[name].processes[-1]
+        process.send(signal.SIGSTOP)
         eventlet.sleep(step.duration_s)
-        self._cluster.send_signal(name, signal.SIGCONT)
+        process.send(signal.SIGCONT)
 
     def _do_stop(self, step: Step) -> None:
         name = self._pick_vm(step)
@@ -225,6 +257,15 @@
     def _do_store_reset(self, step: Step) -> None:
         self._inject_store_fault(step, "reset")
 
+    def _do_store_stalls(self, step: Step) -> None:
+        self._store_proxy.reset()
+        self._inject_store_fault(step, "half")
+
+    def _do_store_sends_without_end(self, step: Step) -> None:
+        self._store_proxy.reset()
+        longer_step = replace(step, duration_s=step.spread(*ENDLESS_S))
+        self._inject_store_fault(longer_step, "endless")
+
     def _do_store_silent(self, step: Step) -> None:
         self._record_disturbance("store", step.duration_s)
         self._store_proxy.dropped_direction = "both"
@@ -279,6 +320,18 @@
             faults.drop_answer = faults.error = 0.0
             faults.cut_head = faults.cut_body = faults.send_interim = 0.0
 
+    def _do_target_stalls(self, step: Step) -> None:
+        faults = self._cluster.back_ends[self._pick_target(step)].spec.faults
+        faults.half = 0.5
+        eventlet.sleep(step.duration_s)
+        faults.half = 0.0
+
+    def _do_target_sends_without_end(self, step: Step) -> None:
+        faults = self._cluster.back_ends[self._pick_target(step)].spec.faults
+        faults.endless = 0.2
+        eventlet.sleep(step.duration_s)
+        faults.endless = 0.0
+
     def _do_target_sheds(self, step: Step) -> None:
         faults = self._cluster.back_ends[self._pick_target(step)].spec.faults
         faults.shed = 0.8
@@ -379,6 +432,8 @@
         """Stop the steps, the cluster and the proxies."""
         for task in self._tasks:
             task.kill()
+        if self._life is not None:
+            self._life.stop()
         self._cluster.stop()
         for proxy in (self._store_proxy, *self._proxies.values()):
             proxy.stop()
--- a/standins/soak/soak_test.py
+++ b/standins/soak/soak_test.py
@@ -16,7 +16,8 @@
 from .proxy import FaultProxy, receive
 from .soak import Soak
 
-SEEDS = (27, 197)  # limits with store faults, a kill; with two reshards and a stop
+# Limits with store faults and a kill; with two reshards and a stop; starts.
+SEEDS = (27, 197, 20261212)
 # Seeds that failed once, each with its cause in a comment.
 REGRESSIONS: tuple[int, ...] = (
     20261253,  # the proxy passed a reset on as a close
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -9,7 +9,7 @@
 from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
-from .http_messages import Message, MessageReader, encode_message
+from .http_messages import Message, MessageReader, encode_message, send_without_end
 from .store import Store
 
 RECORD_COUNT = 12  # records in one answer
@@ -102,6 +102,10 @@
         answer. An answer that is cut may end behind it.
     omit_length : float
         Probability of answering without a Content-Length header.
+    half : float
+        Probability of sending half of the answer and then nothing.
+    endless : float
+        Probability of sending an answer without end, until the fault is over.
     work_factor : float
         Factor on the duration of each request.
     never_answer : bool
@@ -123,6 +127,8 @@
     cut_body: float = 0.0
     send_interim: float = 0.0
     omit_length: float = 0.0
+    half: float = 0.0
+    endless: float = 0.0
     work_factor: float = 1.0
     never_answer: bool = False
     rate_limit: float | None = None
@@ -341,6 +347,14 @@
         if self._should_inject(faults.truncate):
             sock.sendall(answer[: len(answer) // 2])
             return False
+        if self._should_inject(faults.half):
+            sock.sendall(answer[: len(answer) // 2])
+            eventlet.sleep(3600)
+        if self._should_inject(faults.endless):
+            headers["Transfer-Encoding"] = "chunked"
+            head = encode_head("HTTP/1.1 200 OK", headers)
+            send_without_end(sock, head, lambda: faults.endless > 0)
+            return False
         sock.sendall(answer)
         if self._should_inject(faults.extra_answer):
             headers["X-Attempt-Id"] = f"other-{attempt_id}"
--- a/standins/world/http_messages.py
+++ b/standins/world/http_messages.py
@@ -3,10 +3,16 @@
 Bodies need a Content-Length; chunked bodies are not supported.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import eventlet
+
 RECEIVE_BUFFER_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+MAX_ENDLESS_BYTES = 150_000_000  # with its copies above the memory limit of a VM
+ENDLESS_CHUNK_BYTES = 262_144
+ENDLESS_INTERVAL_S = 0.001  # between chunks, so that other tasks run
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +86,29 @@
         return bool(data)
 
 
+def send_without_end(sock, head: bytes, should_go_on: Callable[[], bool]) -> None:
+    """Send a head and chunks until told to stop or `MAX_ENDLESS_BYTES` are sent.
+
+    The last chunk is never sent, so that no reader may take the body for whole.
+
+    Parameters
+    ----------
+    sock : socket
+        Connected socket.
+    head : bytes
+        Complete head of a message with a chunked body.
+    should_go_on : callable
+        Returns False to stop.
+    """
+    sock.sendall(head)
+    chunk = b"%x\r\n%b\r\n" % (ENDLESS_CHUNK_BYTES, b"x" * ENDLESS_CHUNK_BYTES)
+    for _ in range(MAX_ENDLESS_BYTES // ENDLESS_CHUNK_BYTES):
+        if not should_go_on():
+            return
+        sock.sendall(chunk)
+        eventlet.sleep(ENDLESS_INTERVAL_S)
+
+
 def encode_message(
     start_line: str, headers: dict[str, object], body: bytes = b""
 ) -> bytes:
--- a/standins/world/store.py
+++ b/standins/world/store.py
@@ -9,11 +9,13 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
-from .http_messages import MessageReader, encode_message
+from .http_messages import MessageReader, encode_message, send_without_end
 
 PAGE_SIZE = 50  # items in one answer of a range read
-# Values of `Store.faults`: status 503, closed connection, no answer, status 429.
-FAULTS = ("busy", "reset", "silent", "many")
+# Values of `Store.faults`: status 503, closed connection, no answer, status 429, half
+# of an answer, an answer without end.
+FAULTS = ("busy", "reset", "silent", "many", "half", "endless")
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,11 +119,22 @@
         try:
             while (call := reader.read()) is not None:
                 self.call_count += 1
-                fault = self.faults.get(peer_ip) or self.faults.get("")
+                fault = self._find_fault(peer_ip)
                 if fault == "silent":
                     eventlet.sleep(3600)
                 if fault == "reset":
                     return
+                if fault == "half":
+                    answer = self._handle_call(call)
+                    sock.sendall(answer[: len(answer) // 2])
+                    eventlet.sleep(3600)
+                if fault == "endless":
+                    send_without_end(
+                        sock,
+                        ENDLESS_HEAD,
+                        lambda: self._find_fault(peer_ip) == "endless",
+                    )
+                    return
                 eventlet.sleep(self.delay_s)
                 sock.sendall(
                     self._encode_refusal(fault) if fault else self._handle_call(call)
@@ -132,6 +145,10 @@
             self._sockets.discard(sock)
             sock.close()
 
+    def _find_fault(self, peer_ip: str) -> str:
+        """Return the fault for a client; empty if there is none."""
+        return self.faults.get(peer_ip) or self.faults.get("", "")
+
     def _encode_refusal(self, fault: str) -> bytes:
         """Return the response of the faults that refuse a call."""
         status = "429 Too Many Requests" if fault == "many" else "503 Busy"
