Start one process when two steps start a VM at the same time

Starting a process lets other tasks run before the process is known, so that two overlapping steps (kill_all and log_reader_gone in) each started one; the second waited for the ports of the first and ended with status 3. The new test failed before with two processes.

--- a/standins/world/cluster.py
+++ b/standins/world/cluster.py
@@ -11,6 +11,7 @@
 
 import eventlet
 from eventlet.green import socket
+from eventlet.semaphore import Semaphore
 
 from .back_end import BackEnd, BackEndSpec
 from .http_messages import MessageReader, encode_message
@@ -70,6 +71,8 @@
         Latest process; None before the first start.
     processes : list of VmProcess
         All processes, oldest first.
+    start_lock : Semaphore
+        Held while a process is started, since other tasks run meanwhile.
     """
 
     name: str
@@ -81,6 +84,7 @@
     settings_fields: dict[str, object]
     process: subprocess.Popen | None = None
     processes: list[VmProcess] = field(default_factory=list)
+    start_lock: Semaphore = field(default_factory=Semaphore)
 
     @property
     def caller_address(self) -> tuple[str, int]:
@@ -227,6 +231,13 @@
             Whether the output goes to the log; if not, to a pipe without a reader.
         """
         vm = self.vms[name]
+        with vm.start_lock:
+            self._start_unless_running(vm, beside_old, has_log_reader)
+
+    def _start_unless_running(
+        self, vm: EntryVm, beside_old: bool, has_log_reader: bool
+    ) -> None:
+        """Start a VM's process; the caller holds the lock, see `start`."""
         is_running = vm.process is not None and vm.process.poll() is None
         if is_running and not (beside_old and vm.latest.was_asked_to_stop):
             return
@@ -236,7 +247,7 @@
             "CASSIASTAIRD_METRICS_PORT": str(vm.ports[3]),
         }
         started_at = self.clock()
-        vm.log_path = self.folder / f"{name}-{len(vm.processes)}.log"
+        vm.log_path = self.folder / f"{vm.name}-{len(vm.processes)}.log"
         with vm.log_path.open("ab") if has_log_reader else open_unread() as output:
             vm.process = subprocess.Popen(
                 [sys.executable, "deploy/start.py"],
@@ -247,7 +258,7 @@
                 start_new_session=True,
                 preexec_fn=reset_signals,
             )
-        vm.processes.append(VmProcess(name, vm.process, vm.log_path, started_at))
+        vm.processes.append(VmProcess(vm.name, vm.process, vm.log_path, started_at))
 
     def start_all(self) -> None:
         """Start all VMs and wait until they are ready."""
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -52,6 +52,14 @@
             assert cluster.vms["vm0"].process is first_process
         assert first_process.poll() is not None
 
+    def test_two_starts_at_the_same_time_start_one_process(self):
+        with tempfile.TemporaryDirectory() as folder, Cluster(Path(folder)) as cluster:
+            cluster.add_vms(1)
+            starts = [eventlet.spawn(cluster.start, "vm0") for _ in range(2)]
+            for start in starts:
+                start.wait()
+            assert len(cluster.vms["vm0"].processes) == 1
+
 
 class ClusterTestCase(TestCase):
     """Cluster of three VMs, six shards of two back ends and a desk service of three."""
