End a connection after an unexpected error; no body in error replies to HEAD

An unexpected error while a request was decoded or answered left its connection open without an answer; a pipelined caller would take the next answer for this one's. The error is now answered with 500 where that is possible, and the connection ends otherwise; its memory and descriptor are released whatever fails.

An error reply to HEAD bore its text as a body, so that the caller took it for the start of the next answer.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -102,10 +102,12 @@
             with suppress(OSError, EOFError):
                 self._discard_rest()
         finally:
-            self._stop_serving()
-            self._reader.close()
-            self._memory.close()
-            self._sock.close()
+            try:
+                self._stop_serving()
+            finally:
+                self._reader.close()
+                self._memory.close()
+                self._sock.close()
 
     def _receive(self) -> bytes:
         """Reserve memory for the request that arrives and receive a part of it.
@@ -188,6 +190,7 @@
         try:
             while self._reader.requests:
                 message, keep_alive = self._reader.requests.popleft()
+                has_body = message.method != b"HEAD"
                 keep_alive = keep_alive and not self._handler.should_close_connections()
                 if self._memory.has_first():
                     reply = self._handler.answer(message, self._measure_caller_rtt())
@@ -199,7 +202,7 @@
                 del message
                 self._memory.release_first()
                 keep_alive = keep_alive and not self._handler.should_close_connections()
-                self._send(reply, keep_alive)
+                self._send(reply, keep_alive, has_body)
                 if not keep_alive:
                     self._closing = True
                     break
@@ -207,6 +210,10 @@
                 self._send(self._handler.answer_error(error), False)
         except (OSError, EOFError):
             self._closing = True
+        except Exception:
+            # The next answer would be taken for that of this request.
+            self._closing = True
+            raise
         finally:
             self._serving_task = None
             self._last_activity_at = self._handler.clock.now()
@@ -224,10 +231,10 @@
             return 2 * self._rtt
         return self._rtt
 
-    def _send(self, reply: HttpReply, keep_alive: bool) -> None:
-        """Write a reply to the socket."""
+    def _send(self, reply: HttpReply, keep_alive: bool, has_body: bool = True) -> None:
+        """Write a reply to the socket; a reply to HEAD has no body."""
         head, body = encode_reply(reply, keep_alive)
-        rest = send_at_once(self._sock.fd, head, body)
+        rest = send_at_once(self._sock.fd, head, body if has_body else b"")
         if rest:
             self._send_rest(rest)
 
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -191,6 +191,15 @@
             except CassiastairError as error:
                 self._record_error("", "", received_at, error)
                 return self._codec.encode_error(error)
+            except Exception as error:
+                return self._answer_failure("", error)
+
+    def _answer_failure(self, attempt_id: str, error: Exception) -> HttpReply:
+        """Log an unexpected error, which is being handled, and return the reply."""
+        self._decisions.warn(
+            "internal failure", attempt_id, reason=repr(error), trace=True
+        )
+        return self._codec.encode_error(CassiastairError("internal failure"))
 
     def _forward(
         self, message: HttpRequest, received_at: float, caller_rtt: float
@@ -206,10 +215,7 @@
             self._record_error(request.attempt_id, name, received_at, error)
             return self._codec.encode_error(error)
         except Exception as error:
-            self._decisions.warn(
-                "internal failure", request.attempt_id, reason=repr(error), trace=True
-            )
-            return self._codec.encode_error(CassiastairError("internal failure"))
+            return self._answer_failure(request.attempt_id, error)
         duration = self.clock.now() - received_at
         reply = self._codec.encode_answer(answer)
         self._stats.record_answer(route, answer, duration)
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -19,6 +19,7 @@
 from eventlet.green import socket
 from testtools import TestCase
 
+from ..drain import Drain
 from ..targets.reply_memory import ReplyMemory
 from .caller_connection import CallerConnection
 from .caller_server import CallerServer
@@ -390,6 +391,23 @@
         answered = self.receive().endswith(b"/a")
         assert self.handler.finished == ([b"/a"] if answered else [])
 
+    def test_an_unexpected_error_ends_the_connection_before_the_next_answer(self):
+        self.handler.answer = mock.Mock(side_effect=[ValueError("odd"), "never"])
+        self.caller.sendall(GET + GET.replace(b"/a", b"/b"))
+        assert self.receive() == b""
+        assert self.handler.answer.call_count == 1
+        self.wait_until_closed()
+        assert self.handler.memory.account.held == 0
+
+    def test_an_error_reply_to_head_has_no_body(self):
+        self.handler.answer = lambda *args: HttpReply(404, (), b"no route")
+        self.caller.sendall(GET.replace(b"GET", b"HEAD") + GET)
+        received = b""
+        while not received.endswith(b"no route"):
+            received += self.receive()
+        head, _, rest = received.partition(b"\r\n\r\n")
+        assert rest.startswith(b"HTTP/1.1 404")
+
     def test_a_stopping_vm_answers_and_closes(self):
         self.handler.stopping = True
         self.caller.sendall(GET)
@@ -551,6 +569,23 @@
         return HttpReply(200, (), message.url)
 
 
+class TestUnexpectedErrors(TestCase):
+    """Errors of the parts that answer a request."""
+
+    def test_an_error_while_a_request_is_decoded_is_answered(self):
+        server = EchoServer()
+        codec = mock.Mock()
+        codec.decode_request.side_effect = ValueError("odd")
+        codec.encode_error.side_effect = lambda error: HttpReply(error.status, (), b"")
+        server._codec = codec
+        server._drain = Drain()
+        server._decisions = mock.Mock()
+        request = HttpRequest(b"GET", b"/a", (), b"")
+        reply = CallerServer.answer(server, request, 0.0)
+        assert reply.status == 500
+        assert server._decisions.warn.call_args.args[0] == "internal failure"
+
+
 class TestStopListening(TestCase):
     """Connections that are new when a VM stops listening."""
 
