Start without the metrics port and with closed standard streams; coalesce SIGHUP

A process with closed standard output ended with status 1. A flood of SIGHUP (45,800 in 3 s) kept a VM from answering its readiness check; signals that arrive before the task runs now cause one reading of the settings.

On the code before, with the stream for standard error taken out too, the tests of the metrics port, of the closed streams and of the logged traceback failed; the latter watches a protection that no test noticed when it was taken out.

--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -1,5 +1,6 @@
 """Composition root of the daemon that forwards requests by routes."""
 
+import math
 import os
 import random
 import time
@@ -124,6 +125,7 @@
         self.pauses = PauseDetector(self._clock)
         self.loop_lag = 0.0
         self._pruned_version = -1
+        self._reload_requested = False
         self._paused_targets: set[str] = set()
         self.own = self._make_own_vm()
         self._wire_forwarding(codec)
@@ -134,7 +136,7 @@
         # the listener for callers earlier, whom nobody would serve here meanwhile.
         self._peer_server = ports.open(PeerServer, *settings.peer_address)
         self._ready_listener = ports.open(listen, *settings.ready_address)
-        self._metrics_listener = ports.open(listen, settings.host, metrics_port)
+        self._metrics_port = metrics_port
         self._caller_listener = ports.open(listen, *settings.caller_address)
 
     def _make_own_vm(self) -> Vm:
@@ -244,7 +246,7 @@
             self.limits,
             store_contact,
         )
-        self.node.log_event = lambda event, **fields: self.log.warn(event, "", **fields)
+        self.node.log_event = self._log_event
         self.forwarder = CallForwarder(refuse_call)
         self.link_manager = LinkManager(
             self.node,
@@ -265,7 +267,7 @@
             store_contact,
             self.node.publish,
             propagation_limit_s,
-            lambda event, **fields: self.log.warn(event, "", **fields),
+            self._log_event,
             eventlet.sleep,
             self._rng,
         )
@@ -353,7 +355,7 @@
             (self.server.run, self._caller_listener),
             (self.server.close_timed_out,),
             (ready.run, self._ready_listener),
-            (ready.run, self._metrics_listener),
+            (self._serve_metrics, ready),
             (self._peer_server.run,),
             (self.link_manager.run,),
             (self.reader.run, self._may_wait_for_peers()),
@@ -363,6 +365,15 @@
             eventlet.spawn_n(self._run_task, task, *args)
         self.log.warn("started", "", incarnation=self.own.incarnation, pid=os.getpid())
 
+    def _serve_metrics(self, server: ReadinessServer) -> None:
+        """Serve the metrics page; while its port is in use, callers are served."""
+        ports = PortWaiter(eventlet.sleep, math.inf, self._log_event)
+        server.run(ports.open(listen, self.settings.host, self._metrics_port))
+
+    def _log_event(self, event: str, **fields: object) -> None:
+        """Log an event that belongs to no request."""
+        self.log.warn(event, "", **fields)
+
     def _may_wait_for_peers(self) -> bool:
         """Return True if this VM waits for peers before it reads the store.
 
@@ -447,8 +458,15 @@
         self.dependencies.retry_budget.retain_only(services)
         self.dependencies.send_counts.retain_only(services)
 
+    def request_reload(self, read_settings) -> None:
+        """Read the settings again in a task, unless one is about to do so."""
+        if not self._reload_requested:
+            self._reload_requested = True
+            eventlet.spawn_n(self.reload, read_settings)
+
     def reload(self, read_settings) -> None:
         """Read the settings again and apply those that may change at run time."""
+        self._reload_requested = False
         try:
             settings = read_settings()
         except SettingsError as error:
--- a/packages/cassiastaird/cassiastaird/entry/event_log.py
+++ b/packages/cassiastaird/cassiastaird/entry/event_log.py
@@ -16,6 +16,7 @@
 SAMPLING_DIVISOR = 32  # one request in this many has its lines written
 MAX_LINES_PER_S = 200  # about 50 KB per second
 MAX_BURST_LINES = 400  # lines that may be written at once
+STANDARD_OUTPUT = 1  # descriptor
 LAST_LINE_TIMEOUT_S = 0.2  # time for the reader of the pipe to make room
 LAST_LINE_POLL_S = 0.01
 
@@ -38,7 +39,8 @@
     def __init__(self, vm: str, clock: Clock):
         self.vm = vm
         self._clock = clock
-        self._fd = sys.stdout.fileno()
+        # Python has no stream for a descriptor that was closed at its start.
+        self._fd = STANDARD_OUTPUT if sys.stdout is None else sys.stdout.fileno()
         os.set_blocking(self._fd, False)
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_at = clock.now()
--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -71,6 +71,7 @@
     if "--check" in sys.argv[1:]:
         check_settings(read_settings)
         return
+    open_standard_streams()
     log = EventLog("", BootClock())
     sys.stderr = ErrorStream(lambda text: log.warn("error output", "", text=text))
     try:
@@ -91,6 +92,18 @@
     os._exit(status)  # the other tasks never end
 
 
+def open_standard_streams() -> None:
+    """Open those of the three standard descriptors that are closed.
+
+    Otherwise a socket would get the number, and what is meant for the log.
+    """
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)  # gets the lowest free number
+
+
 class StopDuringStart(Exception):
     """A stop was requested before the daemon was ready to run."""
 
@@ -191,9 +204,7 @@
         raise StartError(cause, EXIT_NO_PORT) from error
     sleep(0)
     daemon.start()
-    signals.set_handler(
-        signal.SIGHUP, lambda: eventlet.spawn_n(daemon.reload, read_settings)
-    )
+    signals.set_handler(signal.SIGHUP, lambda: daemon.request_reload(read_settings))
 
     def report(error: Exception) -> None:
         """Log an error that ended the event loop."""
--- a/standins/world/process_life_test.py
+++ b/standins/world/process_life_test.py
@@ -104,6 +104,12 @@
         holder.close()
         self.cluster.wait_ready("vm0")
 
+    def test_callers_are_served_while_the_metrics_port_is_in_use(self):
+        holder = socket.create_server((self.vm.host, self.vm.ports[3]))
+        self.addCleanup(holder.close)
+        self.cluster.start("vm0")
+        self.cluster.wait_ready("vm0")
+
 
 class TestSettingsDuringStart(ProcessTestCase):
     """Settings that are incomplete when a process starts."""
@@ -122,24 +128,30 @@
             self.vm.log_path.unlink()
 
 
-class TestClosedOutput(ProcessTestCase):
-    """A process whose output has lost its reader."""
+class TestOutput(ProcessTestCase):
+    """A process whose output is read, has lost its reader, or is closed."""
 
-    def test_a_failed_task_does_not_end_a_process_with_closed_output(self):
-        reader, writer = os.pipe()
+    def start(self, command: str, output: int, **options) -> subprocess.Popen:
+        """Start a Python program in the place of the VM's process."""
         process = subprocess.Popen(
-            [sys.executable, "-c", START_WITH_FAILING_TASK],
-            stdout=writer,
-            stderr=writer,
+            [sys.executable, "-c", command],
+            stdout=output,
+            stderr=output,
             cwd=ROOT,
             env={
                 **os.environ,
                 "CASSIASTAIR_BOOT": str(self.vm.settings_path),
                 "CASSIASTAIRD_METRICS_PORT": str(self.vm.ports[3]),
             },
+            **options,
         )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
+        return process
+
+    def test_a_failed_task_does_not_end_a_process_with_closed_output(self):
+        reader, writer = os.pipe()
+        process = self.start(START_WITH_FAILING_TASK, writer)
         os.close(writer)
         self.cluster.wait_ready("vm0")
         os.close(reader)
@@ -149,6 +161,23 @@
         assert self.cluster.is_ready("vm0")
         assert process.poll() is None
 
+    def test_the_traceback_of_a_failed_task_is_logged(self):
+        with self.vm.log_path.open("ab") as log:
+            process = self.start(START_WITH_FAILING_TASK, log.fileno())
+        self.cluster.wait_ready("vm0")
+        process.send_signal(signal.SIGUSR1)
+        assert self.cluster.is_ready("vm0")
+        assert self.cluster.is_ready("vm0")
+        log_text = self.vm.log_path.read_text()
+        assert '"event":"error output"' in log_text
+        assert "ZeroDivisionError" in log_text
+
+    def test_a_process_starts_with_closed_standard_streams(self):
+        closing = "import os, runpy; [os.close(n) for n in range(3)]; "
+        run = "os.execv(sys.executable, [sys.executable, 'deploy/start.py'])"
+        self.start(f"{closing}import sys; {run}", subprocess.DEVNULL)
+        self.cluster.wait_ready("vm0")
+
 
 # Starts the daemon; SIGUSR1 then makes a task fail outside all handling of errors.
 START_WITH_FAILING_TASK = """
