Count what a connection that is held back really holds

A connection that waits for memory, or was refused, kept the first 16 KB of its request beside its objects, and an unfinished head is held twice, by the parser and the reader; 16 KB were counted. 3,000 callers that stalled in a body took a VM of 190 MB to 199.3 MB. The part of a refused request is now dropped, 8 KB are read at first, and what a connection and a head reserve covers both.

A connection that waits for memory is not read, and its caller is no longer timed out for that: it was closed with 408 or as a silent one.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -24,7 +24,7 @@
 from .request_reader import RequestReader
 
 RECEIVE_BYTES = 65_536
-HEAD_RECEIVE_BYTES = 16_384  # read at a time until the length of a body is known
+HEAD_RECEIVE_BYTES = 8192  # read at a time until the length of a body is known
 LINGER_S = 2.0  # time to discard the rest of a refused request
 FIRST_REQUEST_WAIT_S = 0.5  # time that a stopping VM gives a new connection to send
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -75,6 +75,7 @@
         self._received_at = self._last_activity_at
         self._is_unused = True
         self._is_writing = False
+        self._waits_for_memory = False
         self._lingers = False
         self.closed = False
 
@@ -120,7 +121,12 @@
         reader = self._reader
         if not reader.partial:
             return self._sock.recv(HEAD_RECEIVE_BYTES)
-        self._memory.reserve_arriving(reader, self._handler.limits, self._check_caller)
+        self._waits_for_memory = True
+        try:
+            limits = self._handler.limits
+            self._memory.reserve_arriving(reader, limits, self._check_caller)
+        finally:
+            self._waits_for_memory = False
         if reader.expects_continue:
             reader.expects_continue = False
             self._sock.sendall(CONTINUE_REPLY)
@@ -143,6 +149,7 @@
     def _refuse(self, error: MemoryFullError) -> None:
         """Have a request refused after the answers to those before it."""
         self._lingers = True
+        self._reader.drop_unfinished()
         self._start_serving(error)
 
     def _discard_rest(self) -> None:
@@ -295,7 +302,7 @@
         if self._is_writing and now - self._last_activity_at > limits.idle_timeout:
             self._closing = True
             self._shut_down()
-        if self._serving_task is not None:
+        if self._serving_task is not None or self._waits_for_memory:
             return
         inactive_s = now - self._last_activity_at
         if self._reader.partial and not self._reader.in_body:
@@ -325,9 +332,10 @@
     def find_silence(self, now: float) -> float:
         """Return for how many seconds a request or an answer has not progressed.
 
-        It is 0 if none is unfinished, or if a request is with a target.
+        It is 0 if none is unfinished, if the request waits for memory, and from when it
+        is complete until its answer.
         """
-        if self.closed or self._closing:
+        if self.closed or self._closing or self._waits_for_memory:
             return 0.0
         if self._is_writing:
             return now - self._last_activity_at
--- a/packages/cassiastaird/cassiastaird/entry/connection_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/connection_memory.py
@@ -10,7 +10,8 @@
 from .http_message import HttpRequest
 from .request_reader import RequestReader
 
-CONNECTION_BYTES = 16_384  # objects of a connection and of the request that it serves
+CONNECTION_BYTES = 24_576  # objects of a connection and the first bytes of a request
+HEAD_COPIES = 2  # in the parser and in the reader
 SMALL_BODY_BYTES = 16_384
 CHUNKED_STEP_BYTES = 65_536  # reserved at a time for a body of unknown length
 GROWTH_FACTOR = 1.25  # a growing buffer has up to this many times its content
@@ -86,7 +87,8 @@
         """Return the holder and the size of the request that arrives."""
         headers_size = measure_headers(reader.header_count)
         if not reader.in_body:
-            return self._memory.connections, limits.header_bytes + headers_size
+            size = HEAD_COPIES * limits.header_bytes + headers_size
+            return self._memory.connections, size
         length = reader.announced_length
         if length is None:
             steps = reader.body_size // CHUNKED_STEP_BYTES + 2
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -484,6 +484,19 @@
         assert received.endswith(b"memory_full")
         assert self.handler.finished == []
 
+    def test_a_caller_that_is_held_back_is_not_blamed_for_its_silence(self):
+        size = self.fill_memory()
+        self.send_head(100_000)
+        eventlet.sleep(0.01)
+        self.handler.clock.advance(16.0)
+        self.connection.close_if_timed_out(self.handler.clock.now())
+        assert not self.connection.closed
+        assert self.connection.find_silence(self.handler.clock.now()) == 0.0
+        self.handler.memory.bodies.release(size)
+        eventlet.sleep(0.01)
+        self.handler.clock.advance(4.0)
+        assert self.connection.find_silence(self.handler.clock.now()) > 3.0
+
     def test_a_small_body_is_refused_when_there_is_no_memory(self):
         requests = self.handler.memory.requests
         assert requests.try_reserve(requests.available)
--- a/packages/cassiastaird/cassiastaird/entry/request_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/request_reader.py
@@ -112,6 +112,10 @@
         Without this, bodies would stay until the next collection of garbage.
         """
         self.requests.clear()
+        self.drop_unfinished()
+
+    def drop_unfinished(self) -> None:
+        """Drop what was received of an incomplete request, which is refused."""
         self._reset()
 
     def on_message_begin(self) -> None:
