Let a VM that has just started send all retries of its ratio

Change: retries have 0.8 of the ratio from the start, as before; in that window hedges have half of their room.

--- a/packages/cassiastair/cassiastair/forwarding/retry_budget.py
+++ b/packages/cassiastair/cassiastair/forwarding/retry_budget.py
@@ -15,8 +15,8 @@
 BUCKETS = 10  # buckets into which the sliding window is divided
 RATIO_SHARE = 0.8  # used part of the ratio; the rest covers unaligned windows
 SLACK_SHARE = 0.8  # used part of the slack; the rest covers an outdated VM count
-STARTUP_RATIO_SHARE = 0.4  # used part of the ratio in the first window after a start
 STARTUP_SLACK_SHARE = 0.15  # used part of the slack in the first window after a start
+STARTUP_HEDGE_SHARE = 0.5  # part of the room for hedges that is used in that window
 MEMORY_BUCKETS = 30.0  # half-life of the observed rate of failures
 # Failures and requests that are assumed besides those that were seen.
 ASSUMED_FAILURES = 1.0
@@ -56,7 +56,8 @@
     part of the slack. The sum over all VMs therefore keeps within the limits,
     however requests are distributed over the VMs and also while VMs cannot
     communicate. A VM that has just started does not know what its previous process
-    has spent, so for the length of one window it uses only a part of them.
+    has spent, so for the length of one window it uses only a small part of the slack
+    and half of the room for hedges.
 
     Parameters
     ----------
@@ -107,6 +108,8 @@
         """
         window = self._get_window(service)
         share = window.rate_worth(worth)
+        if self._is_starting():
+            share *= STARTUP_HEDGE_SHARE
         hedges = window.extra_sends - window.retries
         reserve = max(window.retries, self._find_reserve(window))
         room = self._allowance(window) - reserve
@@ -160,13 +163,15 @@
         variance = expected + min(1.0, expected) * ratio**2 * window.requests
         return expected + RESERVE_DEVIATIONS * math.sqrt(variance)
 
+    def _is_starting(self) -> bool:
+        """Return True in the first window after the start of this VM."""
+        return self._clock.now() < self._window_full_at
+
     def _allowance(self, window: "_Window") -> float:
         """Return the number of extra sends allowed in the window."""
-        is_starting = self._clock.now() < self._window_full_at
-        slack_share = STARTUP_SLACK_SHARE if is_starting else SLACK_SHARE
-        ratio_share = STARTUP_RATIO_SHARE if is_starting else RATIO_SHARE
+        slack_share = STARTUP_SLACK_SHARE if self._is_starting() else SLACK_SHARE
         slack = self._limits.slack * slack_share / max(1, self._get_vm_count())
-        return self._limits.ratio * ratio_share * window.requests + slack
+        return self._limits.ratio * RATIO_SHARE * window.requests + slack
 
     def _get_window(self, service: str) -> "_Window":
         """Return the window of a service, advanced to the current time."""
