--- a/packages/cassiastaird/cassiastaird/signal_inbox.py
+++ b/packages/cassiastaird/cassiastaird/signal_inbox.py
@@ -22,6 +22,8 @@
         self._handlers: dict[int, Callable[[], None]] = {}
         for number in HELD_SIGNALS:
             signal.signal(number, self._receive)
+        # A program may block them before its first import.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
 
     def _receive(self, number: int, frame) -> None:
         """Call the handler of a signal, or hold the signal if there is none."""
--- a/packages/cassiastaird/cassiastaird/signal_inbox_test.py
+++ b/packages/cassiastaird/cassiastaird/signal_inbox_test.py
@@ -26,6 +26,13 @@
         self.inbox.set_handler(signal.SIGTERM, lambda: self.handled.append("stop"))
         assert self.handled == ["reload", "stop"]
 
+    def test_signals_that_were_blocked_are_handled(self):
+        signal.pthread_sigmask(signal.SIG_BLOCK, HELD_SIGNALS)
+        os.kill(os.getpid(), signal.SIGHUP)
+        inbox = SignalInbox()
+        inbox.set_handler(signal.SIGHUP, lambda: self.handled.append("reload"))
+        assert self.handled == ["reload"]
+
     def test_later_signals_are_handled_at_once(self):
         self.inbox.set_handler(signal.SIGHUP, lambda: self.handled.append("reload"))
         assert self.handled == []
