--- a/packages/cassiastaird/cassiastaird/entry/entry_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_memory.py
@@ -58,7 +58,7 @@
     replies : MemoryHolder
         Replies of targets that are being received.
     store : MemoryHolder
-        Replies of the store.
+        Part that is kept free for readings of the store, which its client bounds.
     """
 
     def __init__(
