Bound the connections of callers by the descriptors of the process

Callers' connections are now bounded to 0.6 of the sockets that the settings and the system allow; above that the longest idle one is closed for a new one. The gauges caller_connections and caller_connections_refused show it.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -79,6 +79,11 @@
         self._lingers = False
         self.closed = False
 
+    @property
+    def last_activity_at(self) -> float:
+        """Time of the last bytes of a request or an answer, in seconds."""
+        return self._last_activity_at
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served."""
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -47,6 +47,13 @@
         Source of time.
     memory : EntryMemory
         Memory for the bytes of callers.
+    max_connections : int
+        Callers' connections that may be open.
+
+    Attributes
+    ----------
+    refused_connections : int
+        Number of connections that were closed at once, above the bound.
     """
 
     def __init__(
@@ -60,6 +67,7 @@
         is_ready: Callable[[], bool],
         clock,
         memory: EntryMemory,
+        max_connections: int,
     ):
         self._forwarder = forwarder
         self._table = table
@@ -71,6 +79,8 @@
         self.clock = clock
         self.memory = memory
         self._connections: set[CallerConnection] = set()
+        self._max_connections = max_connections
+        self.refused_connections = 0
         self._listener = None
 
     @property
@@ -107,16 +117,35 @@
     def _start_connection(self, sock) -> None:
         """Serve an accepted connection in a task of its own.
 
+        Above the bound, the longest idle connection is closed for it, or itself if none
+        is idle: other sockets of the process need descriptors, too.
+
         Raises
         ------
         OSError
             If the caller has closed the connection.
         """
+        if not self._make_room():
+            self.refused_connections += 1
+            sock.close()
+            return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self)
         self._connections.add(connection)
         eventlet.spawn_n(connection.run)
 
+    def _make_room(self) -> bool:
+        """Return True if one more connection fits, if need be after a close."""
+        if len(self._connections) < self._max_connections:
+            return True
+        idle = [c for c in self._connections if c.is_idle]
+        idle.sort(key=lambda connection: connection.last_activity_at)
+        for connection in idle:
+            connection.close_idle()
+            if connection.closed:
+                return True
+        return False
+
     def close_timed_out(self) -> None:
         """Close connections that time out, for as long as the process runs."""
         while True:
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -3,6 +3,7 @@
 import math
 import os
 import random
+import resource
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -70,6 +71,7 @@
 ACCEPTING_SHARE = 0.5  # share of the stop grace for which connections are accepted
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
 STORE_READ_SHARE = 0.32  # of the memory, for one reading of the store
+CALLER_SOCKET_SHARE = 0.6  # of the sockets; the rest is for targets, peers and others
 REPLY_SHARE = 0.2  # of the memory, for replies that are being received
 STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are ended
 FINAL_ANSWERS_S = 0.1  # time to write the answers of requests that are ended
@@ -223,6 +225,7 @@
             self.is_ready,
             self._clock,
             self.memory,
+            int(CALLER_SOCKET_SHARE * find_max_sockets(settings.max_sockets)),
         )
 
     def _wire_replication(self, decoder: ItemDecoder, store: StoreClient) -> None:
@@ -323,6 +326,13 @@
         add("targets_limited", "With a named rate.", self.limits.count)
         add("peer_links", "Open links.", lambda: len(self.node.links))
         add("known_vms", "VMs that share bounds.", self.count_vms)
+        server = self.server
+        add("caller_connections", "Open now.", lambda: server.open_count)
+        add(
+            "caller_connections_refused",
+            "Above their bound.",
+            lambda: server.refused_connections,
+        )
         add("requests_in_progress", "Now.", lambda: self.drain.in_progress)
         memory = self.reply_memory
         add("reply_bytes_held", "Of incomplete replies.", lambda: memory.held)
@@ -511,6 +521,12 @@
     return eventlet.listen((host, port), backlog=BACKLOG, reuse_port=False)
 
 
+def find_max_sockets(allowed: int) -> int:
+    """Return how many sockets may be open, by the settings and the system's limit."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return allowed if limit == resource.RLIM_INFINITY else min(allowed, limit)
+
+
 def refuse_call(call) -> tuple[int, dict]:
     """Answer 404 to a call; VMs that forward by routes accept no forwarded writes."""
     return 404, {}
--- a/packages/cassiastaird/cassiastaird/entry/entry_settings.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_settings.py
@@ -33,6 +33,8 @@
         Limits on the extra sends of all VMs, see `RetryBudgetLimits`.
     memory_bytes : int
         Memory above which the platform ends the process.
+    max_sockets : int
+        Sockets that the process may have open.
     """
 
     vm: str
@@ -50,3 +52,4 @@
     retry_slack: float
     retry_window_s: float
     memory_bytes: int
+    max_sockets: int
