--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -23,7 +23,7 @@
 from ..targets.reply_memory import ReplyMemory
 from .caller_connection import CallerConnection
 from .caller_server import CallerServer
-from .entry_daemon import EntryDaemon
+from .entry_daemon import EntryDaemon, listen
 from .entry_memory import EntryMemory
 from .event_log import MAX_BURST_LINES, EventLog
 from .full_reply_reader import FullReplyReader
@@ -584,6 +584,15 @@
         return HttpReply(200, (), message.url)
 
 
+class TestListen(TestCase):
+    """Listeners of the daemon."""
+
+    def test_a_port_is_not_shared(self):
+        listener = listen("127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        self.assertRaises(OSError, listen, *listener.getsockname())
+
+
 class TestConnectionBound(TestCase):
     """More callers than a VM has descriptors for."""
 
