Revert the reserve for retries in the retry budget

On 60 VMs it takes the hedges' room: a VM's equal share of the slack is small there, and the assumed failures and two standard deviations fill it.

The reasons for sends that are not made stay.

--- a/packages/cassiactl/cassiactl/losses.py
+++ b/packages/cassiactl/cassiactl/losses.py
@@ -150,14 +150,12 @@
 
 
 def describe_failure(record: dict) -> str:
-    """Return the kind of a failed send and why it was not repeated at once, if so."""
+    """Return the kind of a failed send and why it was not repeated, if so."""
     kind, _, rest = record["reason"].partition(":")
     if kind == "RefusedFailure":
         kind = f"refused with{rest}"
     if "no_retry" in record:
         return f"{kind}, no retry: {record['no_retry']}"
-    if "backoff" in record:
-        return f"{kind}, backed off: {record['backoff']}"
     return kind
 
 
--- a/packages/cassiactl/cassiactl/losses_test.py
+++ b/packages/cassiactl/cassiactl/losses_test.py
@@ -89,8 +89,6 @@
         )
         lost = self.sum_by_cause([failure | {"no_retry": "budget"}, refused])
         assert lost == {"run_unknown: BadAnswerFailure, no retry: budget": 1.0}
-        lost = self.sum_by_cause([failure | {"backoff": "budget"}, refused])
-        assert lost == {"run_unknown: BadAnswerFailure, backed off: budget": 1.0}
 
     def test_the_reason_for_which_a_shard_got_no_hedge_is_part_of_the_cause(self):
         partial = make_partial("r", ["a", "b"], 2) | {"no_hedge": {"b": "budget"}}
--- a/packages/cassiastair/cassiastair/forwarding/route_latencies.py
+++ b/packages/cassiastair/cassiastair/forwarding/route_latencies.py
@@ -15,7 +15,6 @@
 MAX_HEDGE_SHARE = 0.50
 INITIAL_HEDGE_SHARE = 0.38
 INITIAL_MEAN_SHARE = 0.2  # assumed mean latency at first, as a share of the objective
-INITIAL_CHANCE = 0.5  # of a hedge to be in time, until enough latencies are known
 MEAN_SMOOTHING = 0.03  # weight of a new latency in the moving average
 IN_TIME_SMOOTHING = 0.1  # weight of a new search in the share of searches in time
 # Share of searches in time from which targets abandon sends at the objective.
@@ -67,20 +66,6 @@
         """Record whether a search reached the lowest coverage within the objective."""
         self._in_time_share += IN_TIME_SMOOTHING * (in_time - self._in_time_share)
 
-    def estimate_worth(self, waited: float, priority: int) -> float:
-        """Return what a hedge is worth: chance to be in time times worth of priority.
-
-        Parameters
-        ----------
-        waited : float
-            Seconds since the request was first sent.
-        priority : int
-            Priority of the route; each step is worth half as much as the one before.
-        """
-        time_left = self.latency_objective - waited
-        chance = self._quantiles.find_share(time_left) if time_left > 0 else 0.0
-        return (INITIAL_CHANCE if chance is None else chance) * 0.5**priority
-
     def hedge_delay(self) -> float:
         """Return the time after which an unanswered send is hedged, in seconds."""
         found = self._quantiles.find(HEDGE_QUANTILE)
--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -17,7 +17,6 @@
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
 from .send import Send, stop_later
-from .send_costs import may_have_arrived, take_back_unused
 from .target_stats import RoutedTargetStats
 from .timers import Timers
 from .top_records import TopRecords
@@ -55,8 +54,6 @@
         Number of backoffs so far.
     no_hedge : UnsentReason or None
         Why no hedge was sent when one was due.
-    backoff_reason : UnsentReason or None
-        Why the search backs off instead of sending a retry now.
     """
 
     __slots__ = (
@@ -69,7 +66,6 @@
         "possible_runs",
         "backoffs",
         "no_hedge",
-        "backoff_reason",
     )
 
     def __init__(self, service: str):
@@ -82,7 +78,6 @@
         self.possible_runs = 0
         self.backoffs = 0
         self.no_hedge: UnsentReason | None = None
-        self.backoff_reason: UnsentReason | None = None
 
     @property
     def pending_count(self) -> int:
@@ -242,45 +237,35 @@
         is_extra = bool(shard.sends)
         return find_untried(self._deps, shard.service, shard.tried, is_extra)
 
-    def _send_extra(self, shard: ShardState, reason: str) -> UnsentReason | None:
-        """Send a hedge or a retry to a shard; return why not, if so."""
-        if not self._find_untried(shard):
-            return explain_no_untried(
-                self._deps, shard.service, shard.tried, shard.sends[-1]
-            )
+    def _refuse_extra(self, shard: ShardState) -> UnsentReason | None:
+        """Spend an extra send; return the limit that does not allow it, if any."""
         if shard.possible_runs + shard.pending_count >= self._route.max_attempts:
             return UnsentReason.MAX_ATTEMPTS
-        if not may_have_arrived(shard.sends):
-            self._send(shard, reason)
-            return None
-        if not self._try_spend(shard, reason):
+        if not self._deps.retry_budget.try_spend(shard.service):
             return UnsentReason.BUDGET
-        self._send(shard, reason)
-        shard.sends[-1].spent_at = self._deps.clock.now()
         return None
 
-    def _try_spend(self, shard: ShardState, reason: str) -> bool:
-        """Spend a hedge or a retry; return whether the budget allows it."""
-        budget = self._deps.retry_budget
-        if reason != "hedge":
-            return budget.try_spend(shard.service)
-        waited = self._deps.clock.now() - self._request.received_at
-        worth = self._latency.estimate_worth(waited, self._route.priority)
-        return budget.try_spend_hedge(shard.service, worth)
-
     def _count_unsent(self, shard: ShardState, reason: UnsentReason) -> None:
         """Count a hedge or retry that is not sent."""
         self._deps.send_counts.record_unsent(reason, shard.service)
 
+    def _explain_no_untried(self, shard: ShardState) -> UnsentReason:
+        """Return why no untried target of a shard may get a request now."""
+        return explain_no_untried(
+            self._deps, shard.service, shard.tried, shard.sends[-1]
+        )
+
     def _hedge(self, shard: ShardState) -> None:
         """Send to a second target of a shard that has not answered in time."""
-        if not shard.pending_count:
-            return  # a retry is due after a backoff
         for send in shard.sends:
             if not send.ended:
                 send.record_late()
-        shard.no_hedge = self._send_extra(shard, "hedge")
+        if self._find_untried(shard):
+            shard.no_hedge = self._refuse_extra(shard)
+        else:
+            shard.no_hedge = self._explain_no_untried(shard)
         if shard.no_hedge is None:
+            self._send(shard, "hedge")
             return
         self._count_unsent(shard, shard.no_hedge)
         self._deps.decision_log.record_sampled(
@@ -314,8 +299,6 @@
         not_run = is_proved_not_run(send)
         if not not_run:
             shard.possible_runs += 1
-        if isinstance(send.outcome, ConnectFailure):
-            take_back_unused(self._deps.retry_budget, shard.service, shard.sends)
         if not shard.is_open:
             self._count_unsent(shard, UnsentReason.FINISHED)
             return
@@ -327,58 +310,56 @@
                 self._give_up(shard)
         self._log_failure(shard, send, waited, no_retry)
 
-    def _retry_or_back_off(
-        self, shard: ShardState, failed: Send
-    ) -> UnsentReason | None:
-        """Retry at a shard or back off; return the reason if neither is done."""
+    def _retry_or_back_off(self, shard: ShardState, failed: Send):
+        """Retry at a shard or back off.
+
+        Returns
+        -------
+        UnsentReason or None
+            Why neither is done, if so.
+        """
         if shard.pending_count:
             return UnsentReason.PENDING
         if self._deps.clock.now() >= self._deadlines.deadline:
             return UnsentReason.DEADLINE
-        if not isinstance(failed.outcome, ConnectFailure):
-            self._deps.retry_budget.record_failure(shard.service)
-        refused = self._send_extra(shard, "retry")
-        not_run = is_proved_not_run(failed)
-        if refused is None or not may_back_off(refused, not_run):
+        if self._find_untried(shard):
+            needs_no_budget = isinstance(failed.outcome, ConnectFailure)
+            refused = None if needs_no_budget else self._refuse_extra(shard)
+            if refused is None:
+                self._send(shard, "retry")
             return refused
-        return self._back_off(shard, refused)
+        if not is_proved_not_run(failed):
+            return self._explain_no_untried(shard)
+        return self._back_off(shard)
 
-    def _back_off(
-        self, shard: ShardState, refused: UnsentReason
-    ) -> UnsentReason | None:
-        """Schedule a retry; return the reason if that is no use."""
+    def _back_off(self, shard: ShardState) -> UnsentReason | None:
+        """Schedule a retry at any target; return the reason if that is no use."""
         if shard.backoffs >= MAX_BACKOFFS:
-            return refused if refused is UnsentReason.BUDGET else UnsentReason.BACKOFFS
-        if not self._may_wait(shard, refused):
-            return refused
+            return UnsentReason.BACKOFFS
+        if not self._may_wait(shard):
+            return self._explain_no_untried(shard)
         due = self._deps.clock.now() + INITIAL_BACKOFF_S * 2**shard.backoffs
         if due >= self._deadlines.deadline:
             return UnsentReason.DEADLINE
         shard.backoffs += 1
-        shard.backoff_reason = refused
         self._timers.add(due, self._retry_after_backoff, shard)
         return None
 
-    def _may_wait(self, shard: ShardState, refused: UnsentReason) -> bool:
-        """Return False if a retry that is refused will be so for long.
-
-        That is so if all targets of the shard have named a time that is too late, or
-        if more sends fail than the budget has retries for.
-        """
-        if refused is UnsentReason.BUDGET:
-            return self._deps.retry_budget.find_wait(shard.service) < math.inf
+    def _may_wait(self, shard: ShardState) -> bool:
+        """Return False if all targets of a shard have named a time that is too late."""
         wait = find_service_wait(self._deps, shard.service)
         return not MAX_USEFUL_WAIT_S < wait < math.inf
 
     def _retry_after_backoff(self, shard: ShardState) -> None:
-        """Retry at an untried target of a shard, or at any if all of them refused."""
+        """Retry at any target of a shard, after all of them refused."""
+        shard.tried.clear()
+        refused = None
         if not self._find_untried(shard):
-            shard.tried.clear()
-        shard.backoff_reason = None
-        refused = self._send_extra(shard, "retry")
-        if refused is UnsentReason.BUDGET:
-            refused = self._back_off(shard, refused)
+            refused = self._explain_no_untried(shard)
+        elif not isinstance(shard.sends[-1].outcome, ConnectFailure):
+            refused = self._refuse_extra(shard)
         if refused is None:
+            self._send(shard, "retry")
             return
         self._give_up(shard)
         self._count_unsent(shard, refused)
@@ -411,7 +392,7 @@
             reason=describe_outcome(send.outcome),
             send=send.reason,
             waited_ms=round(waited * 1000, 1),
-            **name_reasons(no_retry, shard.no_hedge, shard.backoff_reason),
+            **name_reasons(no_retry, shard.no_hedge),
         )
 
     def _make_answer(self) -> MergedAnswer:
@@ -462,28 +443,11 @@
     return outcome.proves_not_run
 
 
-def may_back_off(refused: UnsentReason, not_run: bool) -> bool:
-    """Return True if a retry that is refused now may be sent a little later.
-
-    Parameters
-    ----------
-    refused : UnsentReason
-        Why it is refused.
-    not_run : bool
-        Whether the failed send is proved not to have run.
-    """
-    if refused is UnsentReason.BUDGET:
-        return True
-    return not_run and refused is not UnsentReason.MAX_ATTEMPTS
-
-
 def name_reasons(
-    no_retry: UnsentReason | None,
-    no_hedge: UnsentReason | None,
-    backoff: UnsentReason | None,
+    no_retry: UnsentReason | None, no_hedge: UnsentReason | None
 ) -> dict[str, UnsentReason]:
     """Return the inputs of a log line that say why a request was not sent again."""
-    reasons = {"no_retry": no_retry, "no_hedge": no_hedge, "backoff": backoff}
+    reasons = {"no_retry": no_retry, "no_hedge": no_hedge}
     return {name: reason for name, reason in reasons.items() if reason is not None}
 
 
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -45,8 +45,6 @@
         Whether the send has ended.
     outcome : TargetReply or TargetFailure or None
         Reply or failure; None while there is neither.
-    spent_at : float or None
-        Time at which the retry budget counted the send, in seconds; None if it did not.
     """
 
     __slots__ = (
@@ -55,7 +53,6 @@
         "started_at",
         "ended",
         "outcome",
-        "spent_at",
         "_deps",
         "_latency",
         "_task",
@@ -73,7 +70,6 @@
         self.started_at = deps.clock.now()
         self.ended = False
         self.outcome: TargetReply | TargetFailure | None = None
-        self.spent_at: float | None = None
         self._deps = deps
         self._latency = latency
         self._task: greenlet | None = None
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -16,14 +16,8 @@
 )
 from .dependencies import ForwardingDependencies
 from .request import CallerRequest
-from .scatter import (
-    describe_outcome,
-    is_proved_not_run,
-    may_back_off,
-    name_reasons,
-)
+from .scatter import describe_outcome, is_proved_not_run, name_reasons
 from .send import Send, stop_later
-from .send_costs import may_have_arrived, take_back_unused
 from .target_stats import RoutedTargetStats
 from .timers import Timers
 from .transport import TargetReply
@@ -72,7 +66,6 @@
         self._timers = Timers()
         self._answer: TargetReply | None = None
         self._no_hedge: UnsentReason | None = None
-        self._backoff_reason: UnsentReason | None = None
         self._finished = False
 
     def run(self) -> ForwardedAnswer:
@@ -143,43 +136,35 @@
         is_extra = bool(self._sends)
         return find_untried(self._deps, self._service, self._tried, is_extra)
 
-    def _send_extra(self, reason: str) -> UnsentReason | None:
-        """Send a hedge or a retry; return why not, if so."""
-        if not self._find_untried():
-            return explain_no_untried(
-                self._deps, self._service, self._tried, self._sends[-1]
-            )
+    def _refuse_extra(self) -> UnsentReason | None:
+        """Spend an extra send; return the limit that does not allow it, if any."""
         possible_runs = sum(1 for send in self._sends if not is_proved_not_run(send))
         if possible_runs >= self._route.max_attempts:
             return UnsentReason.MAX_ATTEMPTS
-        if not may_have_arrived(self._sends):
-            self._send(reason)
-            return None
-        if not self._try_spend(reason):
+        if not self._deps.retry_budget.try_spend(self._service):
             return UnsentReason.BUDGET
-        self._send(reason)
-        self._sends[-1].spent_at = self._deps.clock.now()
         return None
 
-    def _try_spend(self, reason: str) -> bool:
-        """Spend a hedge or a retry; return whether the budget allows it."""
-        budget = self._deps.retry_budget
-        if reason != "hedge":
-            return budget.try_spend(self._service)
-        waited = self._deps.clock.now() - self._request.received_at
-        worth = self._latency.estimate_worth(waited, self._route.priority)
-        return budget.try_spend_hedge(self._service, worth)
-
     def _count_unsent(self, reason: UnsentReason) -> None:
         """Count a hedge or retry that is not sent."""
         self._deps.send_counts.record_unsent(reason, self._service)
 
+    def _explain_no_untried(self) -> UnsentReason:
+        """Return why there is no untried target that may get a request now."""
+        return explain_no_untried(
+            self._deps, self._service, self._tried, self._sends[-1]
+        )
+
     def _hedge(self, reason: str) -> None:
         """Send to a second target if the first has not answered."""
         if all(send.ended for send in self._sends):
             return
-        self._no_hedge = self._send_extra(reason)
+        if self._find_untried():
+            self._no_hedge = self._refuse_extra()
+        else:
+            self._no_hedge = self._explain_no_untried()
         if self._no_hedge is None:
+            self._send(reason)
             return
         self._count_unsent(self._no_hedge)
         self._deps.decision_log.record_sampled(
@@ -198,8 +183,6 @@
                 self._finished = True
                 return
         waited = self._deps.clock.now() - send.started_at
-        if isinstance(outcome, ConnectFailure):
-            take_back_unused(self._deps.retry_budget, self._service, self._sends)
         if self._finished:
             no_retry = UnsentReason.FINISHED
         elif any(not other.ended for other in self._sends):
@@ -217,7 +200,7 @@
             reason=describe_outcome(outcome),
             send=send.reason,
             waited_ms=round(waited * 1000, 1),
-            **name_reasons(no_retry, self._no_hedge, self._backoff_reason),
+            **name_reasons(no_retry, self._no_hedge),
         )
 
     def _retry_or_back_off(self, failed: Send) -> UnsentReason | None:
@@ -227,42 +210,43 @@
             return UnsentReason.NOT_IDEMPOTENT
         if self._deps.clock.now() >= self._deadline:
             return UnsentReason.DEADLINE
-        if not isinstance(failed.outcome, ConnectFailure):
-            self._deps.retry_budget.record_failure(self._service)
-        refused = self._send_extra("retry")
-        if refused is None or not may_back_off(refused, not_run):
+        if self._find_untried():
+            needs_no_budget = isinstance(failed.outcome, ConnectFailure)
+            refused = None if needs_no_budget else self._refuse_extra()
+            if refused is None:
+                self._send("retry")
             return refused
-        return self._back_off(refused)
+        if not not_run:
+            return self._explain_no_untried()
+        return self._back_off()
 
-    def _back_off(self, refused: UnsentReason) -> UnsentReason | None:
-        """Schedule a retry; return the reason if that is no use."""
-        out_of_budget = refused is UnsentReason.BUDGET
+    def _back_off(self) -> UnsentReason | None:
+        """Schedule a retry at any target; return the reason if that is no use."""
         if self._backoffs >= MAX_BACKOFFS:
-            return refused if out_of_budget else UnsentReason.BACKOFFS
-        backoff = INITIAL_BACKOFF_S * 2**self._backoffs
-        if out_of_budget:
-            backoff = self._deps.retry_budget.find_wait(self._service)
-        if MAX_USEFUL_WAIT_S < self._find_wait() < math.inf or backoff == math.inf:
-            return (
-                refused  # all targets have named a later time, or too many sends fail
-            )
-        due = self._deps.clock.now() + backoff
+            return UnsentReason.BACKOFFS
+        if MAX_USEFUL_WAIT_S < self._find_wait() < math.inf:
+            return self._explain_no_untried()  # all targets have named a later time
+        due = self._deps.clock.now() + INITIAL_BACKOFF_S * 2**self._backoffs
         if due >= self._deadline:
             return UnsentReason.DEADLINE
         self._backoffs += 1
-        self._backoff_reason = refused
         self._timers.add(due, self._retry_after_backoff, "retry")
         return None
 
+    def _find_wait(self) -> float:
+        """Return the seconds until a target may get the request; see `availability`."""
+        return find_service_wait(self._deps, self._service)
+
     def _retry_after_backoff(self, reason: str) -> None:
-        """Retry at an untried target, or at any if all of them refused."""
+        """Retry at any target, after all of them refused."""
+        self._tried.clear()
+        refused = None
         if not self._find_untried():
-            self._tried.clear()
-        self._backoff_reason = None
-        refused = self._send_extra(reason)
-        if refused is UnsentReason.BUDGET:
-            refused = self._back_off(refused)
+            refused = self._explain_no_untried()
+        elif not isinstance(self._sends[-1].outcome, ConnectFailure):
+            refused = self._refuse_extra()
         if refused is None:
+            self._send(reason)
             return
         self._finished = True
         self._count_unsent(refused)
@@ -273,10 +257,6 @@
             reason=refused,
         )
 
-    def _find_wait(self) -> float:
-        """Return the seconds until a target may get the request; see `availability`."""
-        return find_service_wait(self._deps, self._service)
-
     def _make_answer(self) -> ForwardedAnswer:
         """Return the answer, or raise the error that says why there is none."""
         answer = self._answer
--- a/packages/cassiastair/cassiastair/forwarding/unsent_reason_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/unsent_reason_test.py
@@ -74,14 +74,7 @@
     def test_budget(self, clock):
         bench = self.set_up(clock)
         use_up_budget(bench, "desk")
-        for target in bench.transport.targets.values():
-            target.override = lambda: BROKEN
-        run(bench)
-        assert list_reasons(bench, "send failed", "no_retry") == [None]
-        backoffs = list_reasons(bench, "send failed", "backoff")
-        assert backoffs == [UnsentReason.BUDGET]
-        reasons = list_reasons(bench, "retry not sent", "reason")
-        assert reasons == [UnsentReason.BUDGET]
+        self.check(bench, BROKEN, UnsentReason.BUDGET)
 
     @in_virtual_time
     def test_max_attempts(self, clock):
@@ -208,16 +201,5 @@
             bench.transport.get(f"s0.{number}").override = lambda reply=reply: reply
         use_up_budget(bench, "s0")
         run(bench, "/a/x", 1.0)
-        reasons = list_reasons(bench, "send failed", "backoff")
+        reasons = list_reasons(bench, "send failed", "no_retry")
         assert reasons == [UnsentReason.BUDGET]
-
-    @in_virtual_time
-    def test_a_shard_that_backs_off_is_not_hedged(self, clock):
-        bench = ForwardingBench(clock)
-        bench.set_up([make_search_route(4, 0.5)])
-        for number in range(2):
-            bench.transport.get(f"s0.{number}").override = lambda: BROKEN
-        use_up_budget(bench, "s0")
-        run(bench, "/a/x", 1.0)
-        assert list_reasons(bench, "send failed", "backoff") == [UnsentReason.BUDGET]
-        assert list_reasons(bench, "hedge not sent", "reason") == []
--- a/packages/cassiastair/cassiastair/hedging/quantile.py
+++ b/packages/cassiastair/cassiastair/hedging/quantile.py
@@ -1,4 +1,4 @@
-"""Quantiles and shares of recent latencies in constant memory and constant time."""
+"""Quantiles of recent latencies in constant memory and constant time."""
 
 import math
 
@@ -16,7 +16,7 @@
     """Quantiles from a histogram with logarithmic buckets.
 
     The histogram covers the current window of time and the one before.
-    Computed results are cached until the window ends or `MIN_SAMPLES` further
+    Computed quantiles are cached until the window ends or `MIN_SAMPLES` further
     latencies are observed.
 
     Parameters
@@ -31,7 +31,6 @@
         self._previous = [0] * BUCKETS
         self._window_started_at = clock.now()
         self._cached: dict[float, float | None] = {}
-        self._cached_shares: dict[int, float | None] = {}
         self._samples_since_clear = 0
 
     def observe(self, latency: float) -> None:
@@ -49,28 +48,6 @@
             self._cached[quantile] = self._compute(quantile)
         return self._cached[quantile]
 
-    def find_share(self, latency: float) -> float | None:
-        """Return the share of latencies up to one; None if there are too few.
-
-        Parameters
-        ----------
-        latency : float
-            Latency in seconds, above zero.
-        """
-        self._rotate()
-        bucket = locate_bucket(latency)
-        if bucket not in self._cached_shares:
-            self._cached_shares[bucket] = self._compute_share(bucket)
-        return self._cached_shares[bucket]
-
-    def _compute_share(self, bucket: int) -> float | None:
-        """Compute the share of the latencies up to a bucket, from both windows."""
-        total = sum(self._current) + sum(self._previous)
-        if total < MIN_SAMPLES:
-            return None
-        end = bucket + 1
-        return (sum(self._current[:end]) + sum(self._previous[:end])) / total
-
     def _compute(self, quantile: float) -> float | None:
         """Compute a quantile from both windows."""
         counts = [a + b for a, b in zip(self._current, self._previous, strict=True)]
@@ -97,9 +74,8 @@
         self._clear_cache()
 
     def _clear_cache(self) -> None:
-        """Discard the cached results."""
+        """Discard the cached quantiles."""
         self._cached.clear()
-        self._cached_shares.clear()
         self._samples_since_clear = 0
 
 
--- a/packages/cassiastaird/cassiastaird/entry/ablation.py
+++ b/packages/cassiastaird/cassiastaird/entry/ablation.py
@@ -21,10 +21,6 @@
         """Return False."""
         return False
 
-    def try_spend_hedge(self, service: str, worth: float) -> bool:
-        """Return False."""
-        return False
-
 
 class NoOutlierReports(OutlierDetector):
     """Detector to which no target is an outlier."""
