--- a/standins/memory/stalls.py
+++ b/standins/memory/stalls.py
@@ -80,9 +80,7 @@
         cluster.configure([make_desk_route(), busy], ["desk", "busy"])
         cluster.add_vms(1)
         self._vm = cluster.vms["vm0"]
-        text = self._vm.settings_path.read_text()
-        text = text.replace("[limits]", f"[limits]\nmemoryMb = {memory_mb}")
-        self._vm.settings_path.write_text(text)
+        self._vm.write_settings(memory_mb=memory_mb)
         cluster.start_all()
         eventlet.sleep(1.0)
 
--- a/standins/world/memory_test.py
+++ b/standins/world/memory_test.py
@@ -37,10 +37,7 @@
         self.cluster.configure([make_desk_route(timeoutMs=20_000)], ["desk"])
         self.cluster.add_vms(1)
         self.vm = self.cluster.vms["vm0"]
-        settings = self.vm.settings_path.read_text()
-        self.vm.settings_path.write_text(
-            settings.replace("[limits]", f"[limits]\nmemoryMb = {MEMORY_MB}")
-        )
+        self.vm.write_settings(memory_mb=MEMORY_MB)
         self.cluster.start_all()
         self.peak_bytes = 0
         self.socks = []
