--- a/packages/cassiastaird/cassiastaird/entry/main.py
+++ b/packages/cassiastaird/cassiastaird/entry/main.py
@@ -66,7 +66,8 @@
     decoder : ItemDecoder
         Decodes the items of the platform's store.
     make_store_client : callable
-        Returns a client of the store, given its host and port.
+        Returns a client of the store, given its host and port and the bound on the
+        bytes that it reads at a time.
     """
     if "--check" in sys.argv[1:]:
         check_settings(read_settings)
