Count charged and misdirected sends by service

`extra_sends_total` and `misdirected_sends_total` count by service what was charged and what was answered by another process than the target (421). No decision changes.

--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -243,6 +243,7 @@
             return UnsentReason.MAX_ATTEMPTS
         if not self._deps.retry_budget.try_spend(shard.service):
             return UnsentReason.BUDGET
+        self._deps.send_counts.record_charged(shard.service)
         return None
 
     def _count_unsent(self, shard: ShardState, reason: UnsentReason) -> None:
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -143,6 +143,7 @@
         """Record what the reply said, unless another target has the address now."""
         is_refusal = isinstance(failure, RefusedFailure)
         if is_refusal and failure.code == "moved":
+            self._deps.send_counts.record_misdirected(self.stats.target.service)
             return
         if is_refusal:
             self._record_limit(request, failure.notice.rate_limit)
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -143,6 +143,7 @@
             return UnsentReason.MAX_ATTEMPTS
         if not self._deps.retry_budget.try_spend(self._service):
             return UnsentReason.BUDGET
+        self._deps.send_counts.record_charged(self._service)
         return None
 
     def _count_unsent(self, reason: UnsentReason) -> None:
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -308,6 +308,18 @@
             ("reason", "service"),
             sends.unsent,
         )
+        page.add_counters(
+            "extra_sends_total",
+            "Sends charged to the retry budget.",
+            "service",
+            sends.charged,
+        )
+        page.add_counters(
+            "misdirected_sends_total",
+            "Sends to targets whose address another process has.",
+            "service",
+            sends.misdirected,
+        )
         add = page.add_gauge
         add("configuration_version", "In force.", lambda: self.table.version)
         add("news_revision", "Known completely.", lambda: self.replica.revision)
