--- /dev/null
+++ b/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
@@ -0,0 +1,118 @@
+"""Tests of targets whose address another service's target has taken over."""
+
+import random
+
+import eventlet
+import pytest
+from testtools import TestCase
+
+from ..clock import ManualClock
+from ..errors import CassiastairError
+from ..targets.failures import RefusedFailure
+from ..testing import in_virtual_time
+from ..testing.fake_transport import FakeTransport
+from ..testing.forwarding_bench import (
+    ForwardingBench,
+    make_search_route,
+    make_single_route,
+)
+
+MISDIRECTED = RefusedFailure("status 421", "moved", "")
+VMS = tuple(f"vm{number}" for number in range(7))
+SLACK = 54.0  # the benches' default
+RATIO = 0.2
+WINDOW_S = 10.0
+
+
+def count_between(times: list[float], start: float, end: float) -> int:
+    """Return how many times lie in a span, its end left out."""
+    return sum(start <= time < end for time in times)
+
+
+class TestReusedAddress(TestCase):
+    """Sends to an address whose new owner answers that it is not the target."""
+
+    def run_many(self, bench: ForwardingBench, count: int, path: str) -> None:
+        """Run requests one after the other, whatever becomes of them."""
+        for _ in range(count):
+            try:
+                bench.run(path)
+            except CassiastairError:
+                pass  # only the sends are of interest
+            eventlet.sleep(0.1)
+
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="routes: a target's address is reused before its record ends",
+    )
+    @in_virtual_time
+    def test_a_target_gets_nothing_after_another_process_has_answered(self, clock):
+        for path, name in (("/one/x", "desk.0"), ("/a/x", "s0.0")):
+            bench = ForwardingBench(clock)
+            bench.set_up([make_single_route(), make_search_route(2, 0.5)])
+            bench.transport.get(name).override = lambda: MISDIRECTED
+            self.run_many(bench, 100, path)
+            assert len(bench.transport.get(name).arrivals) == 1
+
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="routes: VMs use up the retry budget of an address's new owner",
+    )
+    @in_virtual_time
+    def test_sends_to_reused_addresses_keep_their_new_owners_retry_budget(self, clock):
+        requests, arrivals = self.play_reuse(clock)
+        for start in range(5, 25):
+            known = max(
+                count_between(requests, start - shift, start - shift + WINDOW_S)
+                for shift in (0, WINDOW_S / 2, WINDOW_S)
+            )
+            first = count_between(requests, start, start + WINDOW_S)
+            extra = count_between(arrivals, start, start + WINDOW_S) - first
+            assert extra <= RATIO * known + SLACK, f"{extra} extra from {start} s"
+
+    def play_reuse(self, clock: ManualClock) -> tuple[list[float], list[float]]:
+        """Let seven VMs search while one slow shard owns addresses of three others.
+
+        Returns
+        -------
+        requests, arrivals : list of float
+            Seconds at which searches began, and at which sends reached the targets of
+            the slow shard or the addresses that belong to it now.
+        """
+        rng = random.Random(7)
+        transport = FakeTransport(clock)
+        benches = [
+            ForwardingBench(clock, seed, SLACK, transport, vm, VMS)
+            for seed, vm in enumerate(VMS)
+        ]
+        begin = clock.now()
+        for bench in benches:
+            bench.set_up([make_search_route(4, 0.5)])
+        for number in range(2):
+            slow = transport.get(f"s0.{number}")
+            slow.latency = lambda: rng.choice((0.01, 0.01, 0.2))
+        reused = [transport.get(f"s{shard}.0") for shard in (1, 2, 3)]
+        requests: list[float] = []
+
+        def search(bench: ForwardingBench) -> None:
+            """Run one search."""
+            requests.append(clock.now() - begin)
+            try:
+                bench.run("/a/x")
+            except CassiastairError:
+                pass  # only the sends are of interest
+
+        def end_and_reuse() -> None:
+            """Let the new owner answer at the addresses of three targets."""
+            for target in reused:
+                target.override = lambda: MISDIRECTED
+
+        eventlet.spawn_after(13.0, end_and_reuse)
+        while clock.now() - begin < 35.0:
+            eventlet.spawn_n(search, rng.choice(benches))
+            eventlet.sleep(rng.expovariate(40.0))
+        arrivals = [transport.get(f"s0.{number}").arrivals for number in range(2)]
+        times = [time - begin for sends in arrivals for time, _ in sends]
+        for target in reused:
+            times += [t - begin for t, _ in target.arrivals if t - begin >= 13.0]
+        return requests, times
