--- a/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
@@ -1,5 +1,6 @@
 """Tests of targets whose address another service's target has taken over."""
 
+import math
 import random
 
 import eventlet
@@ -60,7 +61,14 @@
     )
     @in_virtual_time
     def test_sends_to_reused_addresses_keep_their_new_owners_retry_budget(self, clock):
-        requests, arrivals = self.play_reuse(clock)
+        self.check_budget(*self.play_reuse(clock, reuse_at=13.0))
+
+    @in_virtual_time
+    def test_the_same_searches_keep_the_retry_budget_without_reuse(self, clock):
+        self.check_budget(*self.play_reuse(clock, reuse_at=math.inf))
+
+    def check_budget(self, requests: list[float], arrivals: list[float]) -> None:
+        """Fail if a window has more arrivals beyond the first than are allowed."""
         for start in range(5, 25):
             known = max(
                 count_between(requests, start - shift, start - shift + WINDOW_S)
@@ -70,8 +78,17 @@
             extra = count_between(arrivals, start, start + WINDOW_S) - first
             assert extra <= RATIO * known + SLACK, f"{extra} extra from {start} s"
 
-    def play_reuse(self, clock: ManualClock) -> tuple[list[float], list[float]]:
-        """Let seven VMs search while one slow shard owns addresses of three others.
+    def play_reuse(
+        self, clock: ManualClock, reuse_at: float
+    ) -> tuple[list[float], list[float]]:
+        """Let seven VMs search over a slow shard, which takes over three addresses.
+
+        Parameters
+        ----------
+        clock : ManualClock
+            Virtual clock.
+        reuse_at : float
+            Second at which an address of each other shard becomes the slow shard's.
 
         Returns
         -------
@@ -107,12 +124,13 @@
             for target in reused:
                 target.override = lambda: MISDIRECTED
 
-        eventlet.spawn_after(13.0, end_and_reuse)
+        if math.isfinite(reuse_at):
+            eventlet.spawn_after(reuse_at, end_and_reuse)
         while clock.now() - begin < 35.0:
             eventlet.spawn_n(search, rng.choice(benches))
             eventlet.sleep(rng.expovariate(40.0))
         arrivals = [transport.get(f"s0.{number}").arrivals for number in range(2)]
         times = [time - begin for sends in arrivals for time, _ in sends]
         for target in reused:
-            times += [t - begin for t, _ in target.arrivals if t - begin >= 13.0]
+            times += [t - begin for t, _ in target.arrivals if t - begin >= reuse_at]
         return requests, times
