Send nothing to a target after another process has answered at its address

Cause: a 421 proves that the address belongs to another process, but it was handled like a refusal for lack of room: a backoff of at most 2 s, then the next send, until the record of the target expired; its siblings' trouble made it the choice again at once. Each such send is an arrival at the service that now has the address, which no VM's budget for it knows.

Change: the registry takes a displaced target out of use, closes its connections and fails requests that wait for one, until its record is removed or describes another process, or 60 s have passed, so that a wrong 421 costs no target for ever. It is no fallback either.

`test_the_word_of_another_target_at_the_address_counts_for_nothing` looked the target up among those in use, where it is no longer; it now asserts that no pause and no leaving was recorded or logged, which is as strict for the pause and covers the leaving as well.

--- a/packages/cassiastair/cassiastair/forwarding/notice_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/notice_test.py
@@ -154,7 +154,10 @@
         moved = RefusedFailure("status 421", "moved", "", notice)
         bench.transport.get("desk.0").override = lambda: moved
         self.run_many(bench, 10)
-        assert bench.registry.find("desk.0").paused_until == 0.0
+        assert bench.registry.list_paused() == []
+        assert bench.registry.count_leaving() == 0
+        for event in ("target paused", "target leaving"):
+            assert self.count_events(bench, event) == 0
 
     @in_virtual_time
     def test_another_process_under_the_name_starts_clean(self, clock):
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -143,12 +143,21 @@
         """Record what the reply said, unless another target has the address now."""
         is_refusal = isinstance(failure, RefusedFailure)
         if is_refusal and failure.code == "moved":
-            self._deps.send_counts.record_misdirected(self.stats.target.service)
+            self._record_misdirected(request)
             return
         if is_refusal:
             self._record_limit(request, failure.notice.rate_limit)
         self._record_notice(request, failure.notice)
 
+    def _record_misdirected(self, request: CallerRequest) -> None:
+        """Record that another process has the target's address."""
+        target = self.stats.target
+        self._deps.send_counts.record_misdirected(target.service)
+        if self._deps.registry.record_displaced(target):
+            self._deps.decision_log.warn(
+                "target displaced", request.attempt_id, target=target.name
+            )
+
     def _record_limit(self, request: CallerRequest, rate: float | None) -> None:
         """Record the request rate that the target named; log an unreadable one."""
         target = self.stats.target
--- a/packages/cassiastair/cassiastair/forwarding/target_registry.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry.py
@@ -12,6 +12,7 @@
 # reach the platform return within about two seconds.
 FALLBACK_SHARE = 0.75
 LEFT_MEMORY_S = 60.0  # for which a target that left is remembered without a record
+DISPLACED_MEMORY_S = 60.0  # after which a displaced target gets a request again
 
 
 class RoutedTargetRegistry:
@@ -51,6 +52,8 @@
         self._draining: dict[str, dict[str, tuple[RoutedTargetStats, float]]] = {}
         self._leaving: dict[str, RoutedTarget] = {}  # that have said so themselves
         self._removed_at: dict[str, float] = {}  # of those whose record is missing
+        # Displaced targets, each with the end of the time for which that is believed.
+        self._displaced: dict[str, tuple[RoutedTarget, float]] = {}
         # Targets that want no requests, each with the end of that time.
         self._paused: dict[str, tuple[RoutedTarget, float]] = {}
 
@@ -70,6 +73,11 @@
                 self._removed_at.pop(target.name, None)
                 return
             self._forget_leaving(target.name)
+        displaced, until = self._displaced.get(target.name, (None, 0.0))
+        if target.is_same_incarnation(displaced):
+            self._displaced[target.name] = (target, until)
+            return
+        self._displaced.pop(target.name, None)
         known = self._live.get(target.name)
         if known is not None and not target.is_same_incarnation(known.target):
             self._remove_live(known)
@@ -124,6 +132,32 @@
         self._leaving[target.name] = target
         return True
 
+    def record_displaced(self, target: RoutedTarget) -> bool:
+        """Record that another process has answered at the address of a target.
+
+        Returns
+        -------
+        bool
+            Whether that is news of a target that may get requests.
+        """
+        known = self._live.get(target.name)
+        if known is not None and target.is_same_incarnation(known.target):
+            self._remove_live(known)
+        else:
+            draining = self._draining.get(target.service, {})
+            known, _ = draining.get(target.name, (None, 0.0))
+            if known is None or not target.is_same_incarnation(known.target):
+                return False
+            del draining[target.name]
+        until = self._clock.now() + DISPLACED_MEMORY_S
+        self._displaced[target.name] = (known.target, until)
+        self._on_removed(known.target)
+        return True
+
+    def count_displaced(self) -> int:
+        """Return the number of targets whose address another process has."""
+        return len(self._displaced)
+
     def _forget_leaving(self, name: str) -> None:
         """Forget that a target has said that it leaves."""
         del self._leaving[name]
@@ -148,6 +182,7 @@
 
     def remove(self, name: str) -> None:
         """Handle the removal of a target's record: a live target becomes draining."""
+        self._displaced.pop(name, None)
         left = self._leaving.get(name)
         if left is not None:
             self._removed_at[name] = self._clock.now()
@@ -229,6 +264,10 @@
         now = self._clock.now()
         for name in [n for n, (_, until) in self._paused.items() if until <= now]:
             del self._paused[name]
+        for name, (target, until) in list(self._displaced.items()):
+            if until <= now:
+                del self._displaced[name]
+                self.update(target)
         since = now - LEFT_MEMORY_S
         for name in [n for n, at in self._removed_at.items() if at < since]:
             self._forget_leaving(name)
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -17,7 +17,7 @@
 from .prober import TargetProber
 from .readiness import RouteReadiness
 from .target_chooser import RoutedTargetChooser
-from .target_registry import RoutedTargetRegistry
+from .target_registry import DISPLACED_MEMORY_S, RoutedTargetRegistry
 from .target_stats import RoutedTargetStats
 
 
@@ -161,6 +161,80 @@
         assert sum(self.choose(count=5).values()) == 5
 
 
+class TestDisplacedTargets(TestCase):
+    """Targets at whose address another process has answered."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.retired = []
+        self.registry = RoutedTargetRegistry(
+            self.clock, DRAIN_S, self.retired.append, lambda: 0.0
+        )
+        self.target = make_target("a", "s")
+        self.registry.update(self.target)
+
+    def displace(self) -> bool:
+        """Record that another process has answered."""
+        return self.registry.record_displaced(self.target)
+
+    def names(self) -> list[str]:
+        """Return the names of the targets that may get a request."""
+        return [stats.target.name for stats in self.registry.candidates("s")]
+
+    def test_it_gets_nothing_and_its_connections_are_closed(self):
+        assert self.displace()
+        assert not self.displace()
+        assert self.names() == []
+        assert self.retired == [self.target]
+        assert self.registry.count_displaced() == 1
+
+    def test_a_further_record_of_the_same_process_changes_nothing(self):
+        self.displace()
+        self.registry.update(make_target("a", "s", warm_up=1.0))
+        assert self.names() == []
+
+    def test_its_removal_makes_it_no_fallback(self):
+        self.displace()
+        self.registry.remove("a")
+        assert self.names() == []
+        assert self.registry.count_displaced() == 0
+
+    def test_a_draining_target_is_no_fallback_any_more(self):
+        self.registry.update(make_target("a", "s", draining=True))
+        assert self.names() == ["a"]
+        assert self.displace()
+        assert self.names() == []
+        assert [target.name for target in self.retired] == ["a"]
+
+    def test_another_process_or_a_new_record_of_the_name_is_used(self):
+        self.displace()
+        self.registry.update(make_target("a", "s", started_ms=2))
+        assert self.names() == ["a"]
+        assert not self.displace()  # the earlier process is meant
+        self.target = make_target("a", "s", started_ms=2)
+        self.displace()
+        self.registry.remove("a")
+        self.registry.update(self.target)
+        assert self.names() == ["a"]
+
+    def test_it_is_tried_again_after_a_time(self):
+        self.displace()
+        self.clock.advance(DISPLACED_MEMORY_S - 0.1)
+        self.registry.remove_expired()
+        assert self.names() == []
+        self.clock.advance(0.1)
+        self.registry.remove_expired()
+        assert self.names() == ["a"]
+
+    def test_one_that_drains_meanwhile_is_not_tried_again(self):
+        self.displace()
+        self.registry.update(make_target("a", "s", draining=True))
+        self.clock.advance(DISPLACED_MEMORY_S)
+        self.registry.remove_expired()
+        assert self.names() == []
+
+
 class TestTargetProber(TestCase):
     """Probes of stalled and unreachable targets."""
 
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -334,6 +334,7 @@
         add("targets_out_of_reach", "Of them.", self.registry.count_unreachable)
         add("targets_in_trouble", "Slow or failing.", self.outliers.count)
         add("targets_leaving", "By their word.", self.registry.count_leaving)
+        add("targets_displaced", "Address reused.", self.registry.count_displaced)
         add("targets_paused", "For a time.", lambda: len(self.registry.list_paused()))
         add("targets_limited", "With a named rate.", self.limits.count)
         add("peer_links", "Open links.", lambda: len(self.node.links))
