Don't make a send that was chosen before its target turned out to be displaced

A send begins in a task of its own, so the 421 of another send can arrive between the choice and the send; the transport then opened a new pool for the target. Such a send fails now as one that was not made, and the request goes to another target without a charge to the retry budget. The registry tests also check that an earlier process is not taken for the present one.

--- a/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
@@ -55,6 +55,17 @@
             self.run_many(bench, 100, path)
             assert len(bench.transport.get(name).arrivals) == 1
 
+    @in_virtual_time
+    def test_a_send_that_was_chosen_before_that_answer_is_not_made(self, clock):
+        for path, name in (("/one/x", "desk.0"), ("/a/x", "s0.0")):
+            bench = ForwardingBench(clock)
+            bench.set_up([make_single_route(), make_search_route(2, 0.5)], replicas=1)
+            bench.transport.get(name).override = lambda: MISDIRECTED
+            for _ in range(5):
+                eventlet.spawn_n(self.run_many, bench, 1, path)
+            eventlet.sleep(1.0)
+            assert len(bench.transport.get(name).arrivals) == 1
+
     @pytest.mark.proof(
         promise="extra load",
         failure="routes: VMs use up the retry budget of an address's new owner",
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -110,6 +110,8 @@
         """Send the request; return the reply or the failure and record it."""
         target = self.stats.target
         try:
+            if self.stats.displaced:  # since it was chosen
+                raise ConnectFailure("another process has the target's address")
             reply = self._deps.transport.send(target, request, deadline, at_most_once)
         except TargetFailure as failure:
             self._record_failure_notice(request, failure)
--- a/packages/cassiastair/cassiastair/forwarding/target_registry.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry.py
@@ -150,6 +150,7 @@
                 return False
             del draining[target.name]
         until = self._clock.now() + DISPLACED_MEMORY_S
+        known.displaced = True
         self._displaced[target.name] = (known.target, until)
         self._on_removed(known.target)
         return True
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -211,7 +211,11 @@
         self.displace()
         self.registry.update(make_target("a", "s", started_ms=2))
         assert self.names() == ["a"]
+        assert self.registry.count_displaced() == 0
         assert not self.displace()  # the earlier process is meant
+        self.registry.update(make_target("a", "s", started_ms=2, draining=True))
+        assert not self.displace()
+        self.registry.update(make_target("a", "s", started_ms=2))
         self.target = make_target("a", "s", started_ms=2)
         self.displace()
         self.registry.remove("a")
--- a/packages/cassiastair/cassiastair/forwarding/target_stats.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_stats.py
@@ -37,6 +37,8 @@
         Whether the last probe could not open a connection.
     paused_until : float
         Time until which the target wants no requests from this VM, in seconds.
+    displaced : bool
+        Whether another process has answered at the target's address.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "answered_at",
         "unreachable",
         "paused_until",
+        "displaced",
         "_started_at",
     )
 
@@ -60,6 +63,7 @@
         self.answered_at = 0.0
         self.unreachable = False
         self.paused_until = 0.0
+        self.displaced = False
         self._started_at: dict[object, float] = {}
 
     @property
