Ask who answers before a target that was out of reach is used again

The probe of a target that was out of reach now sends a health check that names the target; one that is answered by another instance, or as misdirected, displaces the target. No reply in 0.3 s, a refusal without a name or a service without health path count as before. VMs that keep no connections to a target don't ask, so that at the target size a target that returns isn't asked by all VMs. Targets that are only slow aren't asked either.

Tests: replies over loopback sockets, the prober, and a back end whose port another service's back end takes, over processes: no request reaches it. The process test waits for the new state, so it could not pass before.

--- a/packages/cassiastair/cassiastair/forwarding/__init__.py
+++ b/packages/cassiastair/cassiastair/forwarding/__init__.py
@@ -12,6 +12,7 @@
 from .dependencies import ForwardingDependencies
 from .forwarder import Forwarder
 from .outlier_detector import OutlierDetector
+from .probe_result import ProbeResult
 from .request import CallerRequest
 from .retry_budget import RetryBudget
 from .routed_target import RoutedTarget
@@ -31,6 +32,7 @@
     "ForwardingDependencies",
     "NoDecisionLog",
     "MergedAnswer",
+    "ProbeResult",
     "RetryBudget",
     "RoutedTarget",
     "SendCounts",
--- a/packages/cassiastair/cassiastair/forwarding/prober.py
+++ b/packages/cassiastair/cassiastair/forwarding/prober.py
@@ -4,11 +4,16 @@
 callers' requests had to detect that, each would spend time and retries on it. The
 prober opens a connection to every target that has stopped answering instead; until
 one succeeds, no request waits for that target.
+
+A target that was out of reach may have ended, and its address may have been given to
+another process. The prober therefore asks who answers before requests are sent there.
 """
 
 from collections.abc import Callable
 
 from ..clock import Clock
+from .probe_result import ProbeResult
+from .routed_target import RoutedTarget
 from .target_registry import RoutedTargetRegistry
 from .target_stats import RoutedTargetStats
 
@@ -26,7 +31,9 @@
     registry : RoutedTargetRegistry
         Targets to watch.
     probe : callable
-        Opens a connection to a target; returns whether that succeeded.
+        Probes a target, see `TargetTransport.probe`.
+    on_displaced : callable
+        Called with a target at whose address another process has answered.
     spawn : callable
         Runs a function with its arguments in a new task.
     sleep : callable
@@ -38,13 +45,15 @@
     def __init__(
         self,
         registry: RoutedTargetRegistry,
-        probe: Callable[[object], bool],
+        probe: Callable[[RoutedTarget, bool], ProbeResult],
+        on_displaced: Callable[[RoutedTarget], None],
         spawn: Callable,
         sleep: Callable[[float], None],
         clock: Clock,
     ):
         self._registry = registry
         self._probe = probe
+        self._on_displaced = on_displaced
         self._spawn = spawn
         self._sleep = sleep
         self._clock = clock
@@ -77,11 +86,14 @@
     def _run_probe(self, stats: RoutedTargetStats) -> None:
         """Probe one target and record the result."""
         try:
-            connected = self._probe(stats.target)
+            result = self._probe(stats.target, stats.unreachable)
         finally:
             self._running -= 1
-        if connected:
-            stats.record_connected()
-            self._probed_at.pop(stats.target.name, None)
-        else:
+        if result is ProbeResult.UNREACHABLE:
             stats.record_unreachable(self._clock.now())
+            return
+        self._probed_at.pop(stats.target.name, None)
+        if result is ProbeResult.DISPLACED:
+            self._on_displaced(stats.target)
+        else:
+            stats.record_connected()
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -14,6 +14,7 @@
     make_target,
 )
 from .outlier_detector import OutlierDetector
+from .probe_result import ProbeResult
 from .prober import TargetProber
 from .readiness import RouteReadiness
 from .target_chooser import RoutedTargetChooser
@@ -249,16 +250,27 @@
             self.clock, DRAIN_S, lambda target: None, lambda: 0.0
         )
         self.reachable = False
+        self.is_displaced = False
         self.probes = 0
+        self.asked: list[bool] = []
+        self.displaced: list[str] = []
         self.prober = TargetProber(
-            self.registry, self.probe, lambda f, *a: f(*a), lambda s: None, self.clock
+            self.registry,
+            self.probe,
+            lambda target: self.displaced.append(target.name),
+            lambda f, *a: f(*a),
+            lambda s: None,
+            self.clock,
         )
         self.registry.update(make_target("a", "s"))
 
-    def probe(self, target) -> bool:
+    def probe(self, target, asks_identity: bool) -> ProbeResult:
         """Count a probe and return its result."""
         self.probes += 1
-        return self.reachable
+        self.asked.append(asks_identity)
+        if self.is_displaced:
+            return ProbeResult.DISPLACED
+        return ProbeResult.CONNECTED if self.reachable else ProbeResult.UNREACHABLE
 
     def test_a_healthy_target_is_not_probed(self):
         self.prober.probe_due()
@@ -287,6 +299,26 @@
         assert self.probes == 1
         assert stats.backoff_until > self.clock.now()
 
+    def test_only_a_target_that_was_out_of_reach_is_asked_who_it_is(self):
+        stats = self.registry.find("a")
+        stats.record_start("send", self.clock.now())
+        for _ in range(3):
+            self.clock.advance(0.51)
+            self.prober.probe_due()
+        assert self.asked == [False, True, True]
+
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="routes: a target ends unseen and its address gets another owner",
+    )
+    def test_a_target_is_not_back_when_another_process_answers(self):
+        stats = self.registry.find("a")
+        stats.record_unreachable(self.clock.now())
+        self.is_displaced = True
+        self.prober.probe_due()
+        assert self.displaced == ["a"]
+        assert stats.unreachable
+
     def test_a_target_that_answers_is_no_longer_probed(self):
         stats = self.registry.find("a")
         stats.record_unreachable(self.clock.now())
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ..targets.notice import NO_NOTICE, TargetNotice
+from .probe_result import ProbeResult
 from .request import CallerRequest
 from .routed_target import RoutedTarget
 
@@ -89,8 +90,11 @@
         """Return True if connections to a target are kept between requests."""
 
     @abstractmethod
-    def probe(self, target: RoutedTarget) -> bool:
-        """Open a connection to a target; return whether that succeeded."""
+    def probe(self, target: RoutedTarget, asks_identity: bool) -> ProbeResult:
+        """Open a connection to a target, and ask on it who answers if that is wanted.
+
+        An answer that names no process, or none in time, counts as that of the target.
+        """
 
     @abstractmethod
     def pause(self, target: RoutedTarget, until: float) -> None:
--- a/packages/cassiastair/cassiastair/routing/configuration.py
+++ b/packages/cassiastair/cassiastair/routing/configuration.py
@@ -1,6 +1,6 @@
 """Configuration of the routes, as operators publish it under a version."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .route import Route
 
@@ -42,9 +42,12 @@
         Connections that each target of a service accepts from all VMs together.
     limits : CallerLimits
         Limits on callers.
+    health_paths : dict of str to str
+        Path at which the targets of a service say who they are.
     """
 
     version: int
     routes: tuple[Route, ...]
     connection_limits: dict[str, int]
     limits: CallerLimits
+    health_paths: dict[str, str] = field(default_factory=dict)
--- a/packages/cassiastair/cassiastair/testing/fake_transport.py
+++ b/packages/cassiastair/cassiastair/testing/fake_transport.py
@@ -6,7 +6,13 @@
 import eventlet
 
 from ..clock import Clock
-from ..forwarding import CallerRequest, RoutedTarget, TargetReply, TargetTransport
+from ..forwarding import (
+    CallerRequest,
+    ProbeResult,
+    RoutedTarget,
+    TargetReply,
+    TargetTransport,
+)
 from ..targets.failures import TargetFailure
 from .slot_queue import SlotQueue
 
@@ -26,6 +32,8 @@
         Time and attempt ID of the start and of the end of each send.
     reachable : bool
         Whether probes succeed.
+    displaced : bool
+        Whether another process answers them.
     queue : SlotQueue or None
         Queue that processes the requests; the latency is then not used.
     """
@@ -35,6 +43,7 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     ends: list[tuple[float, str]] = field(default_factory=list)
     reachable: bool = True
+    displaced: bool = False
     queue: SlotQueue | None = None
 
 
@@ -103,9 +112,14 @@
         """Return True; connections are not limited."""
         return True
 
-    def probe(self, target: RoutedTarget) -> bool:
-        """Return True if the target is reachable."""
-        return self.get(target.name).reachable
+    def probe(self, target: RoutedTarget, asks_identity: bool) -> ProbeResult:
+        """Return the result that the test has set."""
+        fake = self.get(target.name)
+        if not fake.reachable:
+            return ProbeResult.UNREACHABLE
+        if asks_identity and fake.displaced:
+            return ProbeResult.DISPLACED
+        return ProbeResult.CONNECTED
 
     def pause(self, target: RoutedTarget, until: float) -> None:
         """Do nothing; no request waits for a connection."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -17,6 +17,7 @@
     ForwardingDependencies,
     OutlierDetector,
     RetryBudget,
+    RoutedTarget,
     RoutedTargetRegistry,
     SendCounts,
     TargetLimits,
@@ -173,7 +174,9 @@
         self.reply_memory = ReplyMemory(
             int(REPLY_SHARE * settings.memory_bytes), self.memory.replies
         )
-        self.transport = RoutedTransport(codec, self._clock, shares, self.reply_memory)
+        self.transport = RoutedTransport(
+            codec, self._clock, shares, self.reply_memory, self._find_health_path
+        )
         self.registry = RoutedTargetRegistry(
             self._clock,
             settings.target_drain_s,
@@ -209,6 +212,7 @@
         self.prober = TargetProber(
             self.registry,
             self.transport.probe,
+            self._record_displaced,
             eventlet.spawn_n,
             eventlet.sleep,
             self._clock,
@@ -282,6 +286,16 @@
             return DEFAULT_CONNECTION_LIMIT
         return configuration.connection_limits.get(service, DEFAULT_CONNECTION_LIMIT)
 
+    def _find_health_path(self, service: str) -> str | None:
+        """Return the path at which the targets of a service say who they are."""
+        configuration = self.table.configuration
+        return configuration and configuration.health_paths.get(service)
+
+    def _record_displaced(self, target: RoutedTarget) -> None:
+        """Record that a probe was answered by another process than its target."""
+        if self.registry.record_displaced(target):
+            self.log.warn("target displaced", "", target=target.name)
+
     def _list_vms(self) -> list[str]:
         """Return the names of all known VMs, this one included."""
         return [self.own.name, *(vm.name for vm in self.members.all())]
--- a/packages/cassiastaird/cassiastaird/entry/http_codec.py
+++ b/packages/cassiastaird/cassiastaird/entry/http_codec.py
@@ -73,6 +73,22 @@
             to another request.
         """
 
+    @abstractmethod
+    def encode_identity_request(self, target: RoutedTarget, path: str) -> bytes:
+        """Return the bytes of a request that asks who answers at a target's address.
+
+        Parameters
+        ----------
+        target : RoutedTarget
+            Target that is expected to answer.
+        path : str
+            Path at which the targets of its service say who they are.
+        """
+
+    @abstractmethod
+    def is_by_another(self, reply: HttpReply, target: RoutedTarget) -> bool:
+        """Return True if a reply proves that another process has a target's address."""
+
     @abstractmethod
     def parse_idle_timeout(self, reply: HttpReply) -> float | None:
         """Return how many seconds a target keeps idle connections open.
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -1,9 +1,13 @@
 """Sends callers' requests to routed targets over pooled connections."""
 
+from collections.abc import Callable
+
+import eventlet
 from cassiastair.clock import Clock
 from cassiastair.forwarding import (
     CallerRequest,
     ConnectionShares,
+    ProbeResult,
     RoutedTarget,
     TargetReply,
     TargetTransport,
@@ -21,11 +25,13 @@
 from ..targets.reply_memory import ReplyMemory
 from .full_reply_reader import FullReplyReader
 from .http_codec import HttpCodec
+from .http_message import HttpReply
 
 IDLE_TIMEOUT_SHARE = 0.9  # share of a target's idle timeout allowed for reuse
 AT_MOST_ONCE_MAX_IDLE_S = 1.0  # idle time limit for at-most-once requests
 MIN_TIME_LEFT_S = 0.002  # a target cannot answer in less
 PROBE_TIMEOUT_S = 0.3  # many round trips to any data centre of a region
+IDENTITY_TIMEOUT_S = 0.3  # for a reply to a request that needs no work
 
 
 class ConnectionShare(ConcurrencyLimit):
@@ -60,6 +66,8 @@
         This VM's part of the connections that each target accepts.
     memory : ReplyMemory
         Account of the memory that replies hold while they are received.
+    find_health_path : callable
+        Returns the path at which the targets of a service say who they are, or None.
     """
 
     def __init__(
@@ -68,11 +76,13 @@
         clock: Clock,
         shares: ConnectionShares,
         memory: ReplyMemory,
+        find_health_path: Callable[[str], str | None],
     ):
         self._codec = codec
         self._clock = clock
         self._shares = shares
         self._memory = memory
+        self._find_health_path = find_health_path
         self._pools: dict[str, ConnectionPool] = {}
         self._limits: dict[str, ConnectionShare] = {}
 
@@ -205,8 +215,8 @@
         pool = self._pools.get(target.name)
         return pool is None or pool.has_free_connection
 
-    def probe(self, target: RoutedTarget) -> bool:
-        """Open a connection to a target; return False if that fails.
+    def probe(self, target: RoutedTarget, asks_identity: bool) -> ProbeResult:
+        """Open a connection to a target, and ask on it who answers if that is wanted.
 
         It is pooled if the pool has no other one. A target that resets it has too many
         connections, so it is reachable.
@@ -217,14 +227,37 @@
                 target.host, target.port, self._clock, PROBE_TIMEOUT_S
             )
         except ConnectionResetError:
-            return True
+            return ProbeResult.CONNECTED
         except OSError:
-            return False
-        if pool.size or not self.keeps_connection(pool.target):
+            return ProbeResult.UNREACHABLE
+        if not self.keeps_connection(pool.target):
+            connection.close()
+            return ProbeResult.CONNECTED
+        path = self._find_health_path(target.service) if asks_identity else None
+        reply = self._ask_identity(connection, target, path) if path else None
+        if reply is not None and self._codec.is_by_another(reply, target):
+            connection.close()
+            return ProbeResult.DISPLACED
+        is_usable = connection.reusable and (reply is not None or not path)
+        if pool.size or not is_usable:
             connection.close()
         else:
             pool.add_idle(connection)
-        return True
+        return ProbeResult.CONNECTED
+
+    def _ask_identity(
+        self, connection: TargetConnection, target: RoutedTarget, path: str
+    ) -> HttpReply | None:
+        """Return the reply to the question who answers; None without one in time."""
+        reader = FullReplyReader(self._memory)
+        request = self._codec.encode_identity_request(target, path)
+        try:
+            with eventlet.Timeout(IDENTITY_TIMEOUT_S, False):
+                connection.exchange_with(request, reader)
+                return reader.build_reply()
+        except OSError:
+            return None
+        return None
 
     def pause(self, target: RoutedTarget, until: float) -> None:
         """Fail requests that wait for a connection to a target until a time passes."""
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -12,6 +12,7 @@
 from .http_messages import Message, MessageReader, encode_message, send_without_end
 from .store import Store
 
+HEALTH_PATH = "/health"
 RECORD_COUNT = 12  # records in one answer
 RECORD_BYTES = 16  # size of one record
 FRAMINGS = ("length", "chunks", "none")
@@ -179,6 +180,8 @@
         Returns the time in seconds.
     host : str
         IP address to listen on.
+    port : int
+        Port to listen on; 0 for a free one.
 
     Attributes
     ----------
@@ -186,6 +189,8 @@
         Port that it listens on.
     requests : list of ReceivedRequest
         Requests received, in the order of receipt.
+    health_checks : int
+        Number of health checks received.
     draining_since : float or None
         Time at which it registered as draining or deregistered.
     is_stopped : bool
@@ -199,17 +204,19 @@
         rng: random.Random,
         clock: Callable[[], float],
         host: str = "127.0.0.1",
+        port: int = 0,
     ):
         self.spec = spec
         self._store = store
         self._rng = rng
         self._clock = clock
-        self._listener = eventlet.listen((host, 0))
+        self._listener = eventlet.listen((host, port))
         self.port = self._listener.getsockname()[1]
         self._address = (host, self.port)
         self._slots = Semaphore(spec.concurrency)
         self._sockets: set = set()
         self.requests: list[ReceivedRequest] = []
+        self.health_checks = 0
         self.draining_since: float | None = None
         self.is_stopped = False
         self._acceptor = eventlet.spawn(self._accept)
@@ -282,6 +289,11 @@
         """Answer one request; return False if the connection must be closed."""
         faults = self.spec.faults
         expected = request.headers.get("x-expected-instance")
+        if request.start_line[1] == HEALTH_PATH:
+            self.health_checks += 1
+            identity = {"X-Instance-Id": self.spec.name}
+            sock.sendall(encode_message("HTTP/1.1 200 OK", identity))
+            return True
         record = self._record_request(request)
         if expected is not None and expected != self.spec.name:
             record.is_executed = False
--- a/standins/world/cluster.py
+++ b/standins/world/cluster.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
-from .back_end import BackEnd, BackEndSpec
+from .back_end import HEALTH_PATH, BackEnd, BackEndSpec
 from .http_messages import MessageReader, encode_message
 from .store import Store
 from .vm_process import VmProcess, read_end
@@ -165,7 +165,10 @@
         document = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": n, "maxConnections": 40} for n in services],
+            "services": [
+                {"name": n, "maxConnections": 40, "healthCheckPath": HEALTH_PATH}
+                for n in services
+            ],
             "limits": {
                 "maxHeaderBytes": 16384,
                 "maxBodyBytes": 262144,
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from ..soak.checks import check_named_limits
-from .back_end import BackEndSpec, make_body
+from .back_end import BackEnd, BackEndSpec, make_body
 from .caller import Caller, Outcome, check_search
 from .cluster import HOST, Cluster, find_ports, make_desk_route, make_search_route
 from .http_messages import MessageReader, encode_message
@@ -347,6 +347,42 @@
         assert note.status == 503
         assert self.count_executions(note.attempt_id) == 0
 
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="platform: a back end ends, its address goes to another service",
+    )
+    def test_reused_address_gets_no_request_meant_for_the_previous_back_end(self):
+        self.cluster.start_all()
+        self.search()
+        ended = self.cluster.back_ends["shard0-0"]
+        ended.stop()
+        for vm in VMS:
+            self.wait_until(lambda vm=vm: self.find_after_search(vm, "out_of_reach"))
+        spec = BackEndSpec("stranger", "desk", "north")
+        stranger = BackEnd(
+            spec,
+            self.cluster.store,
+            self.cluster.rng,
+            self.cluster.clock,
+            port=ended.port,
+        )
+        self.addCleanup(stranger.stop)
+        for vm in VMS:
+            self.wait_until(lambda vm=vm: self.find_after_search(vm, "displaced"))
+        assert stranger.health_checks > 0
+        assert stranger.requests == []
+
+    def find_after_search(self, vm: str, state: str) -> bool:
+        """Search; return whether the VM then knows a target in a state."""
+        self.search(vm)
+        return f"cassiastair_targets_{state}" in self.list_gauges(vm)
+
+    def list_gauges(self, vm: str) -> set[str]:
+        """Return the names of a VM's metrics that are not zero."""
+        lines = self.cluster.read_metrics(vm).splitlines()
+        values = [line.split() for line in lines if not line.startswith("#")]
+        return {name.partition("{")[0] for name, value in values if float(value)}
+
     def test_disconnected_caller_cancels_search(self):
         self.cluster.start_all()
         for back_end in self.cluster.back_ends.values():
