Send one request at a time to a target that was out of reach and is in doubt

A caller's burst of pipelined requests fell into the half second between the reuse of the address and the next probe: first sends, since the shard's other target was full, and hedges went to the address all at once, and the first 421 came when the others were on their way.

A target that a probe has found out of reach is in doubt until it replies, or the probe's answer names it. It gets one request and the next one after its reply or 0.25 s; others go to its siblings, and those without any are refused at once with the rest of that time. `target_in_doubt` names the reason. A probe that is answered by the target ends the doubt before any request, so calm recoveries are as before.

--- a/packages/cassiastair/cassiastair/forwarding/availability.py
+++ b/packages/cassiastair/cassiastair/forwarding/availability.py
@@ -38,6 +38,7 @@
         for c in deps.registry.candidates(service)
         if c.target.name not in tried
         and c.paused_until <= now
+        and not (c.in_doubt and c.find_trial_wait(now))
         and may_send(c.target.name, extra)
     ]
     has_free_connection = deps.transport.has_free_connection
@@ -67,6 +68,8 @@
     if untried:
         if all(c.paused_until > now for c in untried):
             return UnsentReason.TARGET_PAUSED
+        if all(c.find_trial_wait(now) for c in untried):
+            return UnsentReason.TARGET_IN_DOUBT
         return UnsentReason.TARGET_LIMIT
     if isinstance(last.outcome, ConnectionLimitFailure):
         return UnsentReason.CONNECTION_BOUND
@@ -79,8 +82,9 @@
     Returns
     -------
     float
-        Zero if a reachable target wants requests and its limit leaves room; infinity
-        if no target is in reach or other VMs share the limits.
+        Zero if a reachable target wants requests, its limit leaves room and it has no
+        trial in progress; infinity if no target is in reach or other VMs share the
+        limits.
     """
     now = deps.clock.now()
     shortest = math.inf
@@ -90,7 +94,7 @@
         wait = deps.limits.find_wait(candidate.target.name, extra=False)
         if MAX_LIMIT_WAIT_S < wait < math.inf:
             wait = MAX_LIMIT_WAIT_S
-        wait = max(wait, candidate.paused_until - now)
+        wait = max(wait, candidate.paused_until - now, candidate.find_trial_wait(now))
         if wait <= 0:
             return 0.0
         shortest = min(shortest, wait)
--- a/packages/cassiastair/cassiastair/forwarding/probe_result.py
+++ b/packages/cassiastair/cassiastair/forwarding/probe_result.py
@@ -8,4 +8,5 @@
 
     UNREACHABLE = "unreachable"  # no connection could be opened
     CONNECTED = "connected"  # some process accepts connections
+    IDENTIFIED = "identified"  # the target itself has answered
     DISPLACED = "displaced"  # another process has answered
--- a/packages/cassiastair/cassiastair/forwarding/prober.py
+++ b/packages/cassiastair/cassiastair/forwarding/prober.py
@@ -7,6 +7,8 @@
 
 A target that was out of reach may have ended, and its address may have been given to
 another process. The prober therefore asks who answers before requests are sent there.
+Without proof the target stays in doubt until it replies, and gets one request at a
+time.
 """
 
 from collections.abc import Callable
@@ -95,5 +97,7 @@
         self._probed_at.pop(stats.target.name, None)
         if result is ProbeResult.DISPLACED:
             self._on_displaced(stats.target)
-        else:
-            stats.record_connected()
+            return
+        stats.record_connected()
+        if result is ProbeResult.IDENTIFIED:
+            stats.in_doubt = False
--- a/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
@@ -17,6 +17,8 @@
     make_search_route,
     make_single_route,
 )
+from .target_stats import TRIAL_S
+from .unsent_reason import UnsentReason
 
 MISDIRECTED = RefusedFailure("status 421", "moved", "")
 VMS = tuple(f"vm{number}" for number in range(7))
@@ -25,6 +27,12 @@
 WINDOW_S = 10.0
 
 
+def misdirect_late() -> RefusedFailure:
+    """Return a refusal by another process after some time."""
+    eventlet.sleep(0.05)
+    return MISDIRECTED
+
+
 def count_between(times: list[float], start: float, end: float) -> int:
     """Return how many times lie in a span, its end left out."""
     return sum(start <= time < end for time in times)
@@ -145,3 +153,99 @@
         for target in reused:
             times += [t - begin for t, _ in target.arrivals if t - begin >= reuse_at]
         return requests, times
+
+
+class TestTargetInDoubt(TestCase):
+    """Targets that were out of reach, and whose address may have a new owner."""
+
+    def set_up(self, clock, *services: str) -> ForwardingBench:
+        """Return a bench whose first target of each service is reachable again."""
+        bench = ForwardingBench(clock)
+        bench.set_up([make_single_route(), make_search_route(2, 0.5)])
+        for service in services:
+            stats = bench.registry.find(f"{service}.0")
+            stats.record_unreachable(clock.now())
+            stats.record_connected()
+        return bench
+
+    def run_at_once(self, bench: ForwardingBench, count: int, path: str) -> list:
+        """Run requests at the same time; return their errors."""
+        errors = []
+
+        def run() -> None:
+            """Run one request."""
+            try:
+                bench.run(path)
+            except CassiastairError as error:
+                errors.append(error)
+
+        for _ in range(count):
+            eventlet.spawn_n(run)
+        eventlet.sleep(2.0)
+        return errors
+
+    @pytest.mark.proof(
+        promise="extra load",
+        failure="routes: many requests wait when an unreachable address is reused",
+    )
+    @in_virtual_time
+    def test_requests_at_once_make_one_send_to_a_reused_address(self, clock):
+        for path, service in (("/one/x", "desk"), ("/a/x", "s0")):
+            bench = self.set_up(clock, service)
+            target = bench.transport.get(f"{service}.0")
+            target.override = misdirect_late
+            errors = self.run_at_once(bench, 30, path)
+            assert errors == []
+            assert len(target.arrivals) == 1
+
+    @in_virtual_time
+    def test_a_reply_ends_the_doubt(self, clock):
+        bench = self.set_up(clock, "desk")
+        bench.registry.remove("desk.1")
+        assert bench.run("/one/x").status == 200
+        assert self.run_at_once(bench, 5, "/one/x") == []
+        assert len(bench.transport.get("desk.0").arrivals) == 6
+
+    @in_virtual_time
+    def test_a_refusal_by_the_target_itself_ends_the_doubt(self, clock):
+        bench = self.set_up(clock, "desk")
+        refusal = RefusedFailure("full", "shed", "")
+        bench.transport.get("desk.0").override = lambda: refusal
+        bench.registry.remove("desk.1")
+        self.run_at_once(bench, 1, "/one/x")
+        assert not bench.registry.find("desk.0").in_doubt
+
+    @in_virtual_time
+    def test_requests_without_another_target_are_refused_at_once(self, clock):
+        bench = self.set_up(clock, "desk")
+        bench.registry.remove("desk.1")
+        bench.transport.get("desk.0").latency = lambda: 0.9
+        errors = self.run_at_once(bench, 4, "/one/x")
+        assert [error.code for error in errors] == ["no_target"] * 3
+        assert all(0 < error.retry_after <= TRIAL_S for error in errors)
+
+    @in_virtual_time
+    def test_a_slow_trial_holds_up_the_next_request_for_a_bounded_time(self, clock):
+        bench = self.set_up(clock, "desk")
+        bench.registry.remove("desk.1")
+        bench.transport.get("desk.0").latency = lambda: 5.0
+        for _ in range(3):
+            eventlet.spawn_n(bench.run, "/one/x", 9.0)
+            eventlet.sleep(TRIAL_S + 0.01)
+        assert len(bench.transport.get("desk.0").arrivals) == 3
+
+    @in_virtual_time
+    def test_a_hedge_that_the_doubt_prevents_has_that_reason(self, clock):
+        bench = self.set_up(clock, "desk")
+        doubtful = bench.registry.find("desk.0")
+        doubtful.record_start("another send", clock.now())
+        bench.transport.get("desk.1").latency = lambda: 2.0
+        hedge_delay = bench.dependencies.latencies.get(
+            bench.table.find_route("host", "/one/x")
+        ).hedge_delay()
+        eventlet.spawn_n(bench.run, "/one/x")
+        eventlet.sleep(hedge_delay - 0.01)
+        doubtful.record_start("a later send", clock.now())
+        eventlet.sleep(0.02)
+        unsent = bench.dependencies.send_counts.unsent
+        assert unsent == {(UnsentReason.TARGET_IN_DOUBT, "desk"): 1}
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -123,6 +123,7 @@
                 "internal failure", request.attempt_id, reason=repr(error), trace=True
             )
             return BrokenFailure(f"internal failure: {error!r}")
+        self.stats.in_doubt = False
         self._record_limit(request, reply.notice.rate_limit)
         self._record_notice(request, reply.notice)
         now = self._deps.clock.now()
@@ -148,6 +149,7 @@
             self._record_misdirected(request)
             return
         if is_refusal:
+            self.stats.in_doubt = False
             self._record_limit(request, failure.notice.rate_limit)
         self._record_notice(request, failure.notice)
 
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -251,6 +251,7 @@
         )
         self.reachable = False
         self.is_displaced = False
+        self.identified = False
         self.probes = 0
         self.asked: list[bool] = []
         self.displaced: list[str] = []
@@ -270,7 +271,9 @@
         self.asked.append(asks_identity)
         if self.is_displaced:
             return ProbeResult.DISPLACED
-        return ProbeResult.CONNECTED if self.reachable else ProbeResult.UNREACHABLE
+        if not self.reachable:
+            return ProbeResult.UNREACHABLE
+        return ProbeResult.IDENTIFIED if self.identified else ProbeResult.CONNECTED
 
     def test_a_healthy_target_is_not_probed(self):
         self.prober.probe_due()
@@ -307,6 +310,17 @@
             self.prober.probe_due()
         assert self.asked == [False, True, True]
 
+    def test_only_a_target_that_has_said_who_it_is_gets_many_requests_at_once(self):
+        stats = self.registry.find("a")
+        for self.identified in (False, True):
+            self.reachable = False
+            stats.record_unreachable(self.clock.now())
+            self.clock.advance(0.51)
+            self.reachable = True
+            self.prober.probe_due()
+            assert not stats.unreachable
+            assert stats.in_doubt is not self.identified
+
     @pytest.mark.proof(
         promise="extra load",
         failure="routes: a target ends unseen and its address gets another owner",
--- a/packages/cassiastair/cassiastair/forwarding/target_stats.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_stats.py
@@ -7,6 +7,7 @@
 MAX_BACKOFF_S = 2.0  # short, so that a target that recovers is soon used again
 WARM_UP_RATIO = 1.6  # assumed latency ratio of a target that has just started
 SUSPECT_AFTER_FAILURES = 2  # consecutive sends without any reply, then a probe
+TRIAL_S = 0.25  # in which another process at a target's address would have answered
 MAX_RATIO = 12.0  # cap of latency ratios, so that a slow target still gets some sends
 
 
@@ -39,6 +40,9 @@
         Time until which the target wants no requests from this VM, in seconds.
     displaced : bool
         Whether another process has answered at the target's address.
+    in_doubt : bool
+        Whether the target was out of reach and has not replied since. A connection to
+        its address is then no proof that it still has that address.
     """
 
     __slots__ = (
@@ -51,6 +55,7 @@
         "unreachable",
         "paused_until",
         "displaced",
+        "in_doubt",
         "_started_at",
     )
 
@@ -64,6 +69,7 @@
         self.unreachable = False
         self.paused_until = 0.0
         self.displaced = False
+        self.in_doubt = False
         self._started_at: dict[object, float] = {}
 
     @property
@@ -148,8 +154,24 @@
     def record_unreachable(self, now: float) -> None:
         """Record that a probe could not open a connection."""
         self.unreachable = True
+        self.in_doubt = True
         self.record_failure(now)
 
+    def find_trial_wait(self, now: float) -> float:
+        """Return for how many seconds doubt keeps further requests from the target.
+
+        A target in doubt gets one request, and the next one after its reply or the time
+        of a trial.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        """
+        if not self.in_doubt or not self._started_at:
+            return 0.0
+        return max(0.0, max(self._started_at.values()) + TRIAL_S - now)
+
     def is_suspect(self, now: float, stall_time: float) -> bool:
         """Return True if the target may be unreachable and should be probed.
 
--- a/packages/cassiastair/cassiastair/forwarding/transport.py
+++ b/packages/cassiastair/cassiastair/forwarding/transport.py
@@ -93,7 +93,7 @@
     def probe(self, target: RoutedTarget, asks_identity: bool) -> ProbeResult:
         """Open a connection to a target, and ask on it who answers if that is wanted.
 
-        An answer that names no process, or none in time, counts as that of the target.
+        An answer that names no process, or none in time, proves nothing.
         """
 
     @abstractmethod
--- a/packages/cassiastair/cassiastair/forwarding/unsent_reason.py
+++ b/packages/cassiastair/cassiastair/forwarding/unsent_reason.py
@@ -11,6 +11,7 @@
     NO_UNTRIED_TARGET = "no_untried_target"
     TARGET_LIMIT = "target_limit"  # the rates that the untried targets named
     TARGET_PAUSED = "target_paused"  # all untried targets named a later time
+    TARGET_IN_DOUBT = "target_in_doubt"  # the untried targets have to reply once first
     CONNECTION_BOUND = "connection_bound"  # the targets have too many connections
     DEADLINE = "deadline"  # too little time is left
     FINISHED = "finished"  # the request or the part of its shard is finished
--- a/packages/cassiastaird/cassiastaird/entry/http_codec.py
+++ b/packages/cassiastaird/cassiastaird/entry/http_codec.py
@@ -86,8 +86,8 @@
         """
 
     @abstractmethod
-    def is_by_another(self, reply: HttpReply, target: RoutedTarget) -> bool:
-        """Return True if a reply proves that another process has a target's address."""
+    def is_by_target(self, reply: HttpReply, target: RoutedTarget) -> bool | None:
+        """Return whether a target itself has replied; None if nobody is named."""
 
     @abstractmethod
     def parse_idle_timeout(self, reply: HttpReply) -> float | None:
--- a/packages/cassiastaird/cassiastaird/entry/routed_transport.py
+++ b/packages/cassiastaird/cassiastaird/entry/routed_transport.py
@@ -235,7 +235,8 @@
             return ProbeResult.CONNECTED
         path = self._find_health_path(target.service) if asks_identity else None
         reply = self._ask_identity(connection, target, path) if path else None
-        if reply is not None and self._codec.is_by_another(reply, target):
+        is_by_target = reply and self._codec.is_by_target(reply, target)
+        if is_by_target is False:
             connection.close()
             return ProbeResult.DISPLACED
         is_usable = connection.reusable and (reply is not None or not path)
@@ -243,7 +244,7 @@
             connection.close()
         else:
             pool.add_idle(connection)
-        return ProbeResult.CONNECTED
+        return ProbeResult.IDENTIFIED if is_by_target else ProbeResult.CONNECTED
 
     def _ask_identity(
         self, connection: TargetConnection, target: RoutedTarget, path: str
