Play reused addresses in the soak

Checked are the retry budget, as before, and what comes to an address for its previous owner: one request for each process, and one for each caller that may be on its way then.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of the daemon's guarantees against what callers and back ends recorded."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..world.back_end import make_body
@@ -228,6 +229,25 @@
     return violations
 
 
+def check_misdirected(cluster: Cluster, caller_count: int) -> list[str]:
+    """Check that VMs don't go on sending to an address that has another owner.
+
+    Each process may send one request to learn of it, and each caller may have another
+    one in progress at that time.
+    """
+    process_count = sum(len(vm.processes) for vm in cluster.vms.values())
+    violations = []
+    for name, back_end in cluster.back_ends.items():
+        meant_for = Counter(request.expected for request in back_end.requests)
+        for expected, count in meant_for.items():
+            if expected not in ("", name) and count > process_count + caller_count:
+                violations.append(
+                    f"{name}: {count} requests meant for {expected}, "
+                    f"{process_count} processes"
+                )
+    return violations
+
+
 def check_named_limits(cluster: Cluster) -> list[str]:
     """Check that back ends that named a limit get no more requests than that allows.
 
--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -11,12 +11,14 @@
 
 
 class FaultProxy:
-    """Forwards connections from a free loopback port to another address.
+    """Forwards connections from a loopback port to another address.
 
     Parameters
     ----------
     target : (str, int)
         Address to forward to.
+    port : int
+        Port to listen on; 0 for a free one.
 
     Attributes
     ----------
@@ -29,9 +31,9 @@
         the target, ``"both"``, or empty for none.
     """
 
-    def __init__(self, target: tuple[str, int]):
+    def __init__(self, target: tuple[str, int], port: int = 0):
         self._target = target
-        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self._listener = eventlet.listen(("127.0.0.1", port))
         self.address = self._listener.getsockname()
         self.delay_s = 0.0
         self.dropped_direction = ""
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -10,7 +10,7 @@
 from ..world.caller import Caller
 from ..world.cluster import HOST, Cluster, make_desk_route, make_search_route
 from ..world.vm_process import measure_earliest_handler
-from .checks import Observations, find_violations
+from .checks import Observations, check_misdirected, find_violations
 from .life_steps import LifeSteps
 from .plan import FAULT_PHASE_S, SHARD_COUNT, VM_COUNT, Step, draw_plan, select_name
 from .process_checks import check_processes, check_stops, find_peak
@@ -26,6 +26,8 @@
 ENDLESS_S = (2.0, 6.0)  # for which the store sends without end
 LIMIT_S = 6.0  # shortest time for which targets name a limit
 LEAVING_S = 6.0  # from a target's own word to that of the store; twice the drain limit
+REUSE_AFTER_S = 2.0  # from the end of a target to the reuse of its address
+OLD_RECORD_S = (6.0, 12.0)  # for which the record of that target stays
 ZONES = ("north", "south")
 
 
@@ -73,6 +75,7 @@
                 *late,
                 *self._life.violations,
                 *find_violations(self._cluster, self._observations),
+                *check_misdirected(self._cluster, CALLER_COUNT),
                 *self._unrecovered,
             ]
         finally:
@@ -97,11 +100,14 @@
                     process.observe()
             eventlet.sleep(OBSERVE_INTERVAL_S)
 
-    def _add_target(self, service: str, name: str, zone: str) -> None:
-        """Start a back end that registers with the address of its own proxy."""
+    def _add_target(self, service: str, name: str, zone: str, port: int = 0) -> None:
+        """Start a back end that registers with the address of its own proxy.
+
+        The proxy listens on a given port, or on a free one.
+        """
         cluster = self._cluster
         back_end = cluster.add_back_end(BackEndSpec(name, service, zone))
-        proxy = FaultProxy(("127.0.0.1", back_end.port))
+        proxy = FaultProxy(("127.0.0.1", back_end.port), port)
         self._proxies[name] = proxy
         back_end.advertise(proxy.address)
 
@@ -384,6 +390,23 @@
         service = back_end.spec.service
         self._add_target(service, f"{name}r{self._last_suffix}", back_end.spec.zone)
 
+    def _do_address_reused(self, step: Step) -> None:
+        """Let a target end unseen; a target of another service gets its address."""
+        name = self._pick_target(step)
+        back_end = self._cluster.back_ends[name]
+        service, zone = back_end.spec.service, back_end.spec.zone
+        address = self._proxies[name].address
+        back_end.stop()
+        self._proxies[name].stop()
+        eventlet.sleep(REUSE_AFTER_S)
+        others = [s for s in (*self._shards, "desk") if s != service]
+        self._last_suffix += 1
+        new_name = f"{name}u{self._last_suffix}"
+        self._add_target(select_name(others, step.choice), new_name, zone, address[1])
+        self._add_target(service, f"{name}r{self._last_suffix}", zone)
+        eventlet.sleep(step.spread(*OLD_RECORD_S))
+        self._cluster.store.remove(f"servers/{name}")
+
     def _do_target_drains(self, step: Step) -> None:
         name = self._pick_target(step)
         back_end = self._cluster.back_ends[name]
--- a/standins/soak/soak_test.py
+++ b/standins/soak/soak_test.py
@@ -16,8 +16,9 @@
 from .proxy import FaultProxy, receive
 from .soak import Soak
 
-# Limits with store faults and a kill; with two reshards and a stop; starts.
-SEEDS = (27, 197, 20261212)
+# Limits with store faults and a kill; with two reshards and a stop; starts; reused
+# addresses.
+SEEDS = (27, 197, 20261212, 7)
 # Seeds that failed once, each with its cause in a comment.
 REGRESSIONS: tuple[int, ...] = (
     20261253,  # the proxy passed a reset on as a close
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -64,6 +64,8 @@
         True once the work is done, whether or not an answer was sent.
     notice : Notice or None
         What its answer says of the back end; None without such an answer.
+    expected : str
+        Name of the back end that the request is meant for; empty if it names none.
     """
 
     attempt_id: str
@@ -77,6 +79,7 @@
     rate_limit: float | None = None
     is_completed: bool = False
     notice: Notice | None = None
+    expected: str = ""
 
 
 @dataclass(slots=True)
@@ -328,6 +331,7 @@
             body=request.body,
             is_executed=True,
             rate_limit=self.spec.faults.rate_limit,
+            expected=request.headers.get("x-expected-instance", ""),
         )
         self.requests.append(record)
         return record
