--- a/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/reused_address_test.py
@@ -9,7 +9,7 @@
 
 from ..clock import ManualClock
 from ..errors import CassiastairError
-from ..targets.failures import RefusedFailure
+from ..targets.failures import BadAnswerFailure, RefusedFailure
 from ..testing import in_virtual_time
 from ..testing.fake_transport import FakeTransport
 from ..testing.forwarding_bench import (
@@ -215,6 +215,15 @@
         self.run_at_once(bench, 1, "/one/x")
         assert not bench.registry.find("desk.0").in_doubt
 
+    @in_virtual_time
+    def test_a_reply_that_nobody_signed_does_not_end_the_doubt(self, clock):
+        bench = self.set_up(clock, "desk")
+        unsigned = BadAnswerFailure("status 200 without a usable signature")
+        bench.transport.get("desk.0").override = lambda: unsigned
+        bench.registry.remove("desk.1")
+        self.run_at_once(bench, 1, "/one/x")
+        assert bench.registry.find("desk.0").in_doubt
+
     @in_virtual_time
     def test_requests_without_another_target_are_refused_at_once(self, clock):
         bench = self.set_up(clock, "desk")
--- a/packages/cassiastair/cassiastair/testing/forwarding_bench.py
+++ b/packages/cassiastair/cassiastair/testing/forwarding_bench.py
@@ -63,6 +63,8 @@
         Name of the VM.
     vms : sequence of str
         Names of all VMs.
+    registry_class : type of RoutedTargetRegistry
+        Class of the registry of targets.
     """
 
     def __init__(
@@ -73,12 +75,13 @@
         transport: FakeTransport | None = None,
         vm: str = "vm0",
         vms: Sequence[str] = ("vm0",),
+        registry_class: type[RoutedTargetRegistry] = RoutedTargetRegistry,
     ):
         self.clock = clock
         self._vm = vm
         rng = random.Random(seed)
         self.transport = transport or FakeTransport(clock)
-        self.registry = RoutedTargetRegistry(
+        self.registry = registry_class(
             clock, DRAIN_S, self.transport.retire, lambda: 0.0
         )
         self.table = RoutingTable(rng)
