--- a/standins/reuse/plot.py
+++ b/standins/reuse/plot.py
@@ -28,6 +28,7 @@
         axes.plot(*zip(*points, strict=True), marker="o", label=policy)
     axes.set_xscale("log")
     axes.set_yscale("symlog", linthresh=1.0)
+    axes.set_ylim(bottom=0)
     axes.set_xlabel("VMs")
     axes.set_ylabel("requests to one reused address")
     axes.legend()
