--- a/standins/reuse/plot.py
+++ b/standins/reuse/plot.py
@@ -3,14 +3,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-import matplotlib
-
 from .play import ReuseResult
 
-matplotlib.use("Agg")
-
-from matplotlib import pyplot  # noqa: E402
-
 
 def write_plot(results: Sequence[ReuseResult], path: Path) -> None:
     """Write a plot with a line for each policy.
@@ -22,6 +16,12 @@
     path : pathlib.Path
         File to write; its suffix names the format.
     """
+    # Starts threads, to which signals of other tests of the process may go.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
     figure, axes = pyplot.subplots()
     for policy in dict.fromkeys(result.policy for result in results):
         points = [(r.vm_count, r.stray_count) for r in results if r.policy == policy]
