Don't ask a target who it is while it wants no requests

From reading the change: a target that has named a time without requests, and was out of reach in it, got the probe's health check before the time was over. The probe now opens a connection only; the target stays in doubt until it replies. The test asked twice before, once now, after the time.

--- a/packages/cassiastair/cassiastair/forwarding/prober.py
+++ b/packages/cassiastair/cassiastair/forwarding/prober.py
@@ -87,8 +87,9 @@
 
     def _run_probe(self, stats: RoutedTargetStats) -> None:
         """Probe one target and record the result."""
+        is_paused = stats.paused_until > self._clock.now()
         try:
-            result = self._probe(stats.target, stats.unreachable)
+            result = self._probe(stats.target, stats.unreachable and not is_paused)
         finally:
             self._running -= 1
         if result is ProbeResult.UNREACHABLE:
--- a/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
+++ b/packages/cassiastair/cassiastair/forwarding/target_registry_test.py
@@ -310,6 +310,15 @@
             self.prober.probe_due()
         assert self.asked == [False, True, True]
 
+    def test_a_target_that_wants_no_requests_for_a_time_is_not_asked(self):
+        stats = self.registry.find("a")
+        stats.record_unreachable(self.clock.now())
+        self.registry.record_pause(stats, self.clock.now() + 0.6)
+        for _ in range(2):
+            self.prober.probe_due()
+            self.clock.advance(0.61)
+        assert self.asked == [False, True]
+
     def test_only_a_target_that_has_said_who_it_is_gets_many_requests_at_once(self):
         stats = self.registry.find("a")
         for self.identified in (False, True):
