Soak: reuse no address twice at a time

Two steps could pick the same target; the second then listened on a port that already had a new owner, and two live targets shared an address, which the platform doesn't do. A step that finds its target ended does nothing now.

--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -394,6 +394,8 @@
         """Let a target end unseen; a target of another service gets its address."""
         name = self._pick_target(step)
         back_end = self._cluster.back_ends[name]
+        if back_end.is_stopped:
+            return  # its address may have another owner already
         service, zone = back_end.spec.service, back_end.spec.zone
         address = self._proxies[name].address
         back_end.stop()
