Take a reply whose status is not from 100 to 599 for none

Callers saw `HTTP/1.1 0 Status` with the body and the signature of a target in trouble: its status was 000. 001 passed as well, 600 and 999 when no send was left.

Cause: the parser accepts any three digits as a status, and the reply reader took its word. 000 and 001 are below 500, so that they counted as a success and no other target was tried. The reader is shared, so the same happened elsewhere: a refusal with such a status proved that a request had not run (both interfaces), a health check with it identified a target or displaced it, and 099 ended a series of interim replies.

Change: the reader raises its error for a status out of range, for interim replies too. As for other bytes that are no reply, the connection is closed, an idempotent request is tried at another target, and one that is not ends as 502. A second reply behind a whole one still changes nothing.

It holds since every reply of a target, of both interfaces, passes this callback before its status is used. TestCutReplies in client_test.py keeps its tests; its fixture is now shared.

--- a/packages/cassiastaird/cassiastaird/targets/client_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/client_test.py
@@ -27,7 +27,23 @@
 from ..clock import MonotonicClock
 from .client import HttpTargetClient
 
+TIMEOUT_S = 5.0  # ends a test that waits for more of a reply
 ALL_KEYS = KeyRange(0, 2**32)
+ANSWER = {
+    "attempt": "a1",
+    "service": "s",
+    "version": 2,
+    "epoch": 1,
+    "start": 0,
+    "end": 2**32,
+    "records": [],
+    "result": {"key": 1},
+    "held": [[1, 2, 2]],
+    "incarnation": "i",
+    "serving": True,
+}
+WHOLE = format_reply(200, ANSWER)
+HEAD, _, BODY = WHOLE.partition(b"\r\n\r\n")
 
 
 class ClientTestCase(TestCase):
@@ -233,42 +249,8 @@
         assert self.write_and_fail("w1").proves_not_run
 
 
-class TestCutReplies(TestCase):
-    """Replies cut behind each of their bytes, on new and on kept connections."""
-
-    ANSWER = {
-        "attempt": "a1",
-        "service": "s",
-        "version": 2,
-        "epoch": 1,
-        "start": 0,
-        "end": 2**32,
-        "records": [],
-        "result": {"key": 1},
-        "held": [[1, 2, 2]],
-        "incarnation": "i",
-        "serving": True,
-    }
-    WHOLE = format_reply(200, ANSWER)
-    HEAD, _, BODY = WHOLE.partition(b"\r\n\r\n")
-    CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-    CHUNKS = b"14\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n" % (
-        BODY[:20],
-        len(BODY) - 20,
-        BODY[20:],
-    )
-    SWITCH = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade"
-    REPLIES = {
-        "length": WHOLE,
-        "chunked": CHUNKED_HEAD + CHUNKS,
-        "interim": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + WHOLE,
-    }
-    NEVER_COMPLETE = {
-        "without length": b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
-        "interim alone": b"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
-        "switch": SWITCH + b"\r\n\r\n" + WHOLE,
-        "length and chunks": HEAD + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
-    }
+class ScriptedTargetTestCase(TestCase):
+    """Fixture with a client and a target that sends scripted replies."""
 
     def setUp(self):
         super().setUp()
@@ -296,13 +278,36 @@
         except TargetFailure as failure:
             return failure
 
+
+class TestCutReplies(ScriptedTargetTestCase):
+    """Replies cut behind each of their bytes, on new and on kept connections."""
+
+    CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    CHUNKS = b"14\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n" % (
+        BODY[:20],
+        len(BODY) - 20,
+        BODY[20:],
+    )
+    SWITCH = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade"
+    REPLIES = {
+        "length": WHOLE,
+        "chunked": CHUNKED_HEAD + CHUNKS,
+        "interim": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + WHOLE,
+    }
+    NEVER_COMPLETE = {
+        "without length": b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
+        "interim alone": b"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
+        "switch": SWITCH + b"\r\n\r\n" + WHOLE,
+        "length and chunks": HEAD + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+    }
+
     def check_cut(self, kind: str, data: bytes, case: object) -> None:
         """Check that bytes are no answer, however the connection ends behind them."""
         for ending in ("close", "reset", "half"):
             for kept in (False, True):
                 self.client.retain_only(set())
                 if kept:
-                    assert not isinstance(self.call(kind, self.WHOLE), TargetFailure)
+                    assert not isinstance(self.call(kind, WHOLE), TargetFailure)
                 result = self.call(kind, data, ending)
                 assert isinstance(result, BrokenFailure), (case, ending, kept, result)
 
@@ -321,3 +326,27 @@
         for name, reply in self.NEVER_COMPLETE.items():
             for kind in ("read", "write", "report"):
                 self.check_cut(kind, reply, (name, kind))
+
+
+class TestBrokenReplies(ScriptedTargetTestCase):
+    """Replies that are no HTTP/1.1 replies, though their bodies are valid."""
+
+    REFUSAL = format_reply(503, {"attempt": "a1", "code": "shed"})
+
+    def check_no_answer(self, data: bytes) -> None:
+        """Check that bytes are no answer, and prove nothing, at once or in parts."""
+        for kind in ("read", "write", "report"):
+            for is_split in (False, True):
+                self.server.is_split = is_split
+                with eventlet.Timeout(TIMEOUT_S):
+                    result = self.call(kind, data)
+                self.server.is_split = False
+                assert isinstance(result, BrokenFailure), (kind, data, result)
+                assert not result.proves_not_run, (kind, data)
+                assert not isinstance(self.call(kind, WHOLE), TargetFailure), data
+
+    @pytest.mark.proof(promise="own answer", failure="the status is out of range")
+    def test_a_reply_whose_status_is_out_of_range_is_no_answer(self):
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            self.check_no_answer(WHOLE.replace(b"200", status, 1))
+            self.check_no_answer(self.REFUSAL.replace(b"503", status, 1))
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -7,6 +7,7 @@
 
 MAX_BODY_BYTES = 16_000_000
 MAX_HEAD_BYTES = 65_536  # status line, headers and trailers together
+STATUSES = range(100, 600)
 INTERIM_STATUSES = range(100, 200)
 
 
@@ -93,7 +94,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.keep_alive = False
             if not self.done:
-                raise BadReplyError(f"not an HTTP reply: {error}") from error
+                cause = error.__context__ or error  # a callback's error, if any
+                raise BadReplyError(f"not an HTTP reply: {cause}") from error
         self._received += len(data)
         if self.done:
             return
@@ -115,12 +117,21 @@
             self.keep_alive = False
 
     def on_headers_complete(self) -> None:
-        """Keep the status of the first reply.
+        """Keep the status of the first reply, which must be one of HTTP.
 
-        The parser's own status changes with the first bytes of a second one.
+        The parser accepts any three digits, and its own status changes with the first
+        bytes of a second reply.
+
+        Raises
+        ------
+        BadReplyError
+            If the status is out of range.
         """
         if self._message_count == 1:
-            self.status = self._parser.get_status_code()
+            status = self._parser.get_status_code()
+            if status not in STATUSES:
+                raise BadReplyError(f"status {status:03} is not from 100 to 599")
+            self.status = status
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body of the first reply."""
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -40,11 +40,14 @@
         TCP port that it listens on.
     connection_count : int
         Number of connections accepted.
+    is_split : bool
+        Whether each byte of a reply is sent alone.
     """
 
     def __init__(self):
         self.script: deque[Reply] = deque()
         self.connection_count = 0
+        self.is_split = False
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self._acceptor = eventlet.spawn(self._accept)
@@ -66,7 +69,7 @@
         reader = RequestReader(sock)
         while reader.read() is not None:
             reply = self.script.popleft()
-            sock.sendall(reply.data)
+            self._send(sock, reply.data)
             if reply.ending == "half":
                 sock.shutdown(socket.SHUT_WR)
             elif reply.ending:
@@ -74,3 +77,13 @@
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
                 break
         sock.close()
+
+    def _send(self, sock: socket.socket, data: bytes) -> None:
+        """Send the bytes of a reply, in parts that the reader receives alone."""
+        if not self.is_split:
+            sock.sendall(data)
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for index in range(len(data)):
+            sock.sendall(data[index : index + 1])
+            eventlet.sleep(0)
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -110,6 +110,11 @@
         Probability of sending half of the answer and then nothing.
     endless : float
         Probability of sending an answer without end, until the fault is over.
+    spoil : float
+        Probability of replacing bytes of an answer, which is no HTTP answer then.
+    spoilings : tuple of (bytes, bytes)
+        Bytes of an answer and what replaces their first occurrence; one pair is chosen
+        for each such answer.
     work_factor : float
         Factor on the duration of each request.
     never_answer : bool
@@ -133,6 +138,8 @@
     omit_length: float = 0.0
     half: float = 0.0
     endless: float = 0.0
+    spoil: float = 0.0
+    spoilings: tuple[tuple[bytes, bytes], ...] = ()
     work_factor: float = 1.0
     never_answer: bool = False
     rate_limit: float | None = None
@@ -360,6 +367,9 @@
             self._send_cut_body(sock, interim, headers, body)
             return False
         answer = interim + encode_message("HTTP/1.1 200 OK", headers, body)
+        if self._should_inject(faults.spoil):
+            sock.sendall(answer.replace(*self._rng.choice(faults.spoilings), 1))
+            return True
         if self._should_inject(faults.truncate):
             sock.sendall(answer[: len(answer) // 2])
             return False
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -17,6 +17,11 @@
 
 SHARDS = tuple(f"shard{number}" for number in range(6))
 VMS = ("vm0", "vm1", "vm2")
+# Bytes of an answer, and bytes that make it no HTTP/1.1 answer in their place.
+SPOILINGS = tuple(
+    (b"HTTP/1.1 200", b"HTTP/1.1 %b" % status)
+    for status in (b"000", b"001", b"099", b"600", b"999")
+)
 WAIT_TIMEOUT_S = 20.0  # far above the usual time, for a busy machine
 
 
@@ -283,6 +288,38 @@
                 self.check_answer(path, attempt, answer)
         assert served > 200
 
+    @pytest.mark.proof(
+        promise="own answer",
+        failure="platform: answers that are no HTTP/1.1 answers, requests in a row",
+    )
+    def test_no_broken_answer_reaches_a_caller(self):
+        routes = [make_search_route(SHARDS), make_desk_route("idempotent")]
+        self.cluster.configure(routes, [*SHARDS, "desk"])
+        self.cluster.start_all()
+        self.inject_faults(spoil=0.15, spoilings=SPOILINGS)
+        served = 0
+        sock = eventlet.connect(self.cluster.vms["vm0"].caller_address)
+        self.addCleanup(sock.close)
+        reader = MessageReader(sock)
+        for number in range(150):
+            for path, attempt in (
+                ("/search/x", f"s{number}"),
+                ("/desk/x", f"d{number}"),
+            ):
+                sock.sendall(self.encode_get(path, attempt))
+                answer = reader.read()
+                served += answer.status == 200
+                self.check_answer(path, attempt, answer)
+        assert served > 200
+
+    def test_a_note_with_a_broken_answer_runs_once_and_is_not_called_unrun(self):
+        self.cluster.start_all()
+        self.inject_faults(spoil=1.0, spoilings=SPOILINGS)
+        for _ in range(20):
+            note = self.send_note()
+            assert note.status == 502, note
+            assert self.count_executions(note.attempt_id) == 1
+
     def encode_get(self, path: str, attempt: str) -> bytes:
         """Return an encoded request with an attempt ID."""
         headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Request-Deadline": 2000}
