Check the status line of each reply

Callers got the body of a reply whose status line is not one of HTTP/1.1: of another protocol (RTSP, ICE) or version (0.9, 2.0), with a control byte in the reason, or behind empty lines.

Cause: as for the status, the reader relied on the parser, which accepts these. It tells neither the name of the protocol nor the bytes that it skipped.

Change: the reader compares the status line itself with the grammar before the parser has its bytes, also behind each interim reply. The missing space before an absent reason is accepted as before: it is common and has one meaning.

Evidence: without the change 3 of the tests of TestBrokenStatusLine fail, the test of the own protocol and the one of notes over processes; test_no_broken_answer_reaches_a_caller can't see it, since the caller gets a status line of ours.

It holds since bytes reach the parser only after their status line was compared, wherever the line is split.

--- a/packages/cassiastaird/cassiastaird/targets/client_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/client_test.py
@@ -350,3 +350,16 @@
         for status in (b"000", b"001", b"099", b"600", b"999"):
             self.check_no_answer(WHOLE.replace(b"200", status, 1))
             self.check_no_answer(self.REFUSAL.replace(b"503", status, 1))
+
+    def test_a_reply_with_another_status_line_is_no_answer(self):
+        for line in (
+            b"RTSP/1.1 200 OK",
+            b"HTTP/2.0 200 OK",
+            b"HTTP/1.1 200 O\0K",
+            b"\r\nHTTP/1.1 200 OK",
+        ):
+            self.check_no_answer(WHOLE.replace(b"HTTP/1.1 200 OK", line, 1))
+            refusal = line.replace(b"200", b"503")
+            self.check_no_answer(
+                self.REFUSAL.replace(b"HTTP/1.1 503 Status", refusal, 1)
+            )
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -1,5 +1,7 @@
 """Reader of one HTTP reply, which collects what the parser's callbacks receive."""
 
+import re
+
 import httptools
 
 from ..body_buffer import MAX_FRAMING_PER_BODY_BYTE, BodyBuffer
@@ -9,6 +11,12 @@
 MAX_HEAD_BYTES = 65_536  # status line, headers and trailers together
 STATUSES = range(100, 600)
 INTERIM_STATUSES = range(100, 200)
+# The space before an absent reason is often left out.
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] ([0-9])[0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n"
+)
+MAX_QUOTED_BYTES = 80  # of a status line in an error
+HEAD_END = b"\r\n\r\n"
 
 
 class BadReplyError(OSError):
@@ -45,6 +53,7 @@
         "_memory",
         "_body",
         "_received",
+        "_unchecked",
         "_message_count",
     )
 
@@ -59,6 +68,8 @@
         self.done = False
         self.keep_alive = True
         self._received = 0
+        # Bytes from the last status line on that is not known to be valid, if any.
+        self._unchecked: bytes | None = b""
         self._forget_message()
 
     def _forget_message(self) -> None:
@@ -89,6 +100,8 @@
         """
         if not data:
             raise BadReplyError("the connection was closed before the whole reply")
+        if self._unchecked is not None:
+            self._check_status_lines(self._unchecked + data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -110,6 +123,37 @@
                 f"replies hold more than {self._memory.limit} bytes together"
             )
 
+    def _check_status_lines(self, data: bytes) -> None:
+        """Check the status lines of interim replies and of the reply behind them.
+
+        The parser skips empty lines before a status line, and accepts any bytes as the
+        reason, other protocols and other versions.
+
+        Parameters
+        ----------
+        data : bytes
+            All that was received from the start of an unchecked status line on.
+
+        Raises
+        ------
+        BadReplyError
+            If a status line is not one of HTTP/1.0 or HTTP/1.1.
+        """
+        start = 0
+        while line_end := data.find(b"\n", start) + 1:
+            line = STATUS_LINE.fullmatch(data, start, line_end)
+            if line is None:
+                text = data[start : min(line_end, start + MAX_QUOTED_BYTES)]
+                raise BadReplyError(f"not a status line of HTTP/1.1: {text!r}")
+            if line[1] != b"1":
+                self._unchecked = None
+                return
+            head_end = data.find(HEAD_END, line_end - 2)
+            if head_end < 0:
+                break
+            start = head_end + len(HEAD_END)
+        self._unchecked = data[start:]
+
     def on_message_begin(self) -> None:
         """Count a reply that starts; after a second one the connection is closed."""
         self._message_count += 1
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -18,9 +18,12 @@
 SHARDS = tuple(f"shard{number}" for number in range(6))
 VMS = ("vm0", "vm1", "vm2")
 # Bytes of an answer, and bytes that make it no HTTP/1.1 answer in their place.
-SPOILINGS = tuple(
-    (b"HTTP/1.1 200", b"HTTP/1.1 %b" % status)
-    for status in (b"000", b"001", b"099", b"600", b"999")
+SPOILINGS = (
+    *((b"1.1 200", b"1.1 %b" % s) for s in (b"000", b"001", b"099", b"600", b"999")),
+    (b"HTTP/1.1", b"RTSP/1.0"),
+    (b"HTTP/1.1", b"HTTP/2.0"),
+    (b"HTTP/1.1", b"\r\nHTTP/1.1"),
+    (b"200 OK", b"200 O\0K"),
 )
 WAIT_TIMEOUT_S = 20.0  # far above the usual time, for a busy machine
 
