--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -24,6 +24,12 @@
     (b"HTTP/1.1", b"HTTP/2.0"),
     (b"HTTP/1.1", b"\r\nHTTP/1.1"),
     (b"200 OK", b"200 O\0K"),
+    (b"200 OK\r\n", b"200 OK\r\n X: y\r\n"),
+    (b"X-Response-Seal", b"X-Response Seal"),
+    (b"X-Attempt-Id", b"X-Attempt\x01Id"),
+    (b"X-Attempt-Id: ", b"X-Attempt-Id: \0"),
+    (b"Content-Length", b"Content-Length "),
+    (b"Content-Length: ", b"Content-Length: +"),
 )
 WAIT_TIMEOUT_S = 20.0  # far above the usual time, for a busy machine
 
