Take a reply in a transfer coding other than chunks for none

Callers would get a body that is not the target's: a reply with `Transfer-Encoding: gzip, chunked` was passed on with the compressed bytes as its body and without a word of the coding; `chunked, chunked` lost one layer of two. A reply of HTTP/1.0 with chunks, whose framing no reader can be sure of, passed as well. Found by going through the grammar.

Cause: the parser looks only at the last coding, decodes the chunks and says nothing of the others, and the header ends at this VM as one of a single connection.

Change: `FullReplyReader` refuses a reply whose transfer codings are not `chunked` alone, and any of HTTP/1.0. It does so when the head is complete, while a coding without chunks was waited for until the close or the deadline. The own protocol needs no change: its bodies are JSON, so that other codings are a bad answer there; a test of that is added.

It holds since a body is passed on only if what was undone is all that the head names.

--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -3,6 +3,9 @@
 from ..targets.reply_reader import INTERIM_STATUSES, BadReplyError, ReplyReader
 from .http_message import HttpReply
 
+TRANSFER_ENCODING = b"transfer-encoding"
+HTTP_1_0 = "1.0"  # has no transfer codings
+
 
 class FullReplyReader(ReplyReader):
     """Reply reader that keeps headers and accepts replies ended by a close.
@@ -33,13 +36,34 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Record that all headers were received."""
+        """Record that all headers were received; the body must be readable."""
         super().on_headers_complete()
+        if self.status not in INTERIM_STATUSES:
+            self._check_transfer_coding()
         self._head_done = True
         if not self.expects_body and self.status not in INTERIM_STATUSES:
             self.done = True
             self.keep_alive = False
 
+    def _check_transfer_coding(self) -> None:
+        """Check that the body is in no other transfer coding than chunks.
+
+        The parser decodes the chunks of a body if that is its last coding, whatever
+        other coding it has.
+
+        Raises
+        ------
+        BadReplyError
+            If the body has another coding, or the version of the reply has none.
+        """
+        values = [v for name, v in self._headers if name.lower() == TRANSFER_ENCODING]
+        if not values:
+            return
+        codings = [coding.strip(b" ") for coding in b",".join(values).split(b",")]
+        named = [coding.lower() for coding in codings if coding]
+        if named != [b"chunked"] or self._parser.get_http_version() == HTTP_1_0:
+            raise BadReplyError(f"the transfer coding {values!r} is not supported")
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes; none means that the connection was closed.
 
--- a/packages/cassiastaird/cassiastaird/targets/client_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/client_test.py
@@ -1,5 +1,6 @@
 """Tests of the target client against a stand-in server over loopback sockets."""
 
+import gzip
 import math
 
 import eventlet
@@ -363,3 +364,11 @@
             self.check_no_answer(
                 self.REFUSAL.replace(b"HTTP/1.1 503 Status", refusal, 1)
             )
+
+    def test_a_body_in_an_unknown_transfer_coding_is_no_answer(self):
+        body = gzip.compress(BODY, mtime=0)
+        chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        for kind in ("read", "write", "report"):
+            result = self.call(kind, head + chunks)
+            assert isinstance(result, BadAnswerFailure), (kind, result)
