Own protocol: take a refusal of odd content for a bad answer

A search whose target answered `not_held` without `held`, or with a `code` that is a list, got no result from it before its deadline; the connection of that send never went back to the pool. A write's caller was told of an internal failure.

Cause: the decoder of error statuses raised KeyError or TypeError, which the tasks of a search do not expect from it.

Change: both are bad answers, like other malformed bodies.

Evidence: the two tests of codec_test.py failed before, first with KeyError('held'), then with TypeError (unhashable); they give each decoder bodies that lack a field or have one of another type. The tests of cassiastaird's targets: 26 passed with the change. The effect on a search is read from the code, not played.

--- a/packages/cassiastaird/cassiastaird/targets/codec.py
+++ b/packages/cassiastaird/cassiastaird/targets/codec.py
@@ -15,7 +15,7 @@
 )
 from cassiastair.targets.notice import TargetNotice
 
-NOT_RUN_CODES = {"shed", "draining", "expired"}  # the target did not run the request
+NOT_RUN_CODES = ("shed", "draining", "expired")  # the target did not run the request
 MAX_HELD_SPANS = 64  # spans of held versions in one answer
 
 
@@ -163,13 +163,19 @@
 
 
 def decode_failure(raw: bytes, status: int, attempt: Attempt) -> TargetFailure:
-    """Return the failure that an answer with an error status represents."""
+    """Return the failure that an answer with an error status represents.
+
+    Raises
+    ------
+    BadAnswerFailure
+        If the answer is malformed.
+    """
     document = decode_object(raw, attempt.attempt_id)
     code = document.get("code")
     incarnation = str(document.get("incarnation", ""))
     if code == "not_held":
         return NotHeldFailure(
-            "does not hold the snapshot", decode_held_versions(document["held"])
+            "does not hold the snapshot", decode_held_versions(document.get("held"))
         )
     if code in NOT_RUN_CODES:
         notice = TargetNotice(leaving=code == "draining", pause=read_pause(document))
