--- a/packages/cassiastaird/cassiastaird/ticket_source/client.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/client.py
@@ -9,6 +9,8 @@
     PlatformSource,
 )
 
+from ..strict_http import StrictConnectionPool
+
 READ_MARGIN_S = 1.0  # time beyond the requested wait before a long poll times out
 CONNECT_TIMEOUT_S = 1.0
 MAX_PAGE_BYTES = 8_000_000
@@ -26,6 +28,11 @@
     def __init__(self, url: str):
         self._url = url.rstrip("/")
         self._pool_manager = urllib3.PoolManager(retries=False, maxsize=2)
+        pool_classes = self._pool_manager.pool_classes_by_scheme
+        self._pool_manager.pool_classes_by_scheme = {
+            **pool_classes,
+            "http": StrictConnectionPool,
+        }
 
     def watch(self, after: int, wait: float) -> PlatformPage:
         """Return the values published after a revision, see `PlatformSource.watch`."""
