Soak: back ends send answers that are none, and statuses are checked

Its step of wrong answers now has them, with the replacements of the test over processes, and each answer's status has to be one of HTTP.

The share is 0.2.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -19,6 +19,7 @@
 LIMIT_EXCESS_REQUESTS = 5  # further requests that it tolerates in each window
 PAUSE_GRACE_S = 0.5  # in which requests that were on their way may still arrive
 MAX_PAUSED_REQUESTS = 2  # from one VM in the rest of the time that was named
+STATUSES = range(100, 600)
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)  # promise that a request did not run
 
 
@@ -90,7 +91,7 @@
     """Check that successful requests have complete answers of their own.
 
     All parts of a search must come from one configuration, and the number of missing
-    parts must be correct.
+    parts must be correct. The status of each answer must be one of HTTP.
     """
     service_by_back_end = {n: b.spec.service for n, b in cluster.back_ends.items()}
     violations = []
@@ -110,6 +111,11 @@
         if outcome.status == 200
         and outcome.answer.body != make_body("desk", outcome.attempt_id)
     ]
+    violations += [
+        f"{outcome.attempt_id}: the status {outcome.status} is none of HTTP"
+        for outcome in (*observations.searches, *observations.notes)
+        if outcome.answer is not None and outcome.status not in STATUSES
+    ]
     return violations
 
 
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -319,12 +319,14 @@
             faults.extra_answer, faults.truncate, faults.omit_length = 0.05, 0.05, 0.05
             faults.drop_answer, faults.error = 0.03, 0.03
             faults.cut_head = faults.cut_body = faults.send_interim = 0.03
+            faults.spoil = 0.2
         eventlet.sleep(step.duration_s)
         for back_end in back_ends:
             faults = back_end.spec.faults
             faults.extra_answer = faults.truncate = faults.omit_length = 0.0
             faults.drop_answer = faults.error = 0.0
             faults.cut_head = faults.cut_body = faults.send_interim = 0.0
+            faults.spoil = 0.0
 
     def _do_target_stalls(self, step: Step) -> None:
         faults = self._cluster.back_ends[self._pick_target(step)].spec.faults
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -16,6 +16,20 @@
 RECORD_COUNT = 12  # records in one answer
 RECORD_BYTES = 16  # size of one record
 FRAMINGS = ("length", "chunks", "none")
+# Bytes of an answer, and bytes that make it no HTTP/1.1 answer in their place.
+SPOILINGS = (
+    *((b"1.1 200", b"1.1 %b" % s) for s in (b"000", b"001", b"099", b"600", b"999")),
+    (b"HTTP/1.1", b"RTSP/1.0"),
+    (b"HTTP/1.1", b"HTTP/2.0"),
+    (b"HTTP/1.1", b"\r\nHTTP/1.1"),
+    (b"200 OK", b"200 O\0K"),
+    (b"200 OK\r\n", b"200 OK\r\n X: y\r\n"),
+    (b"X-Response-Seal", b"X-Response Seal"),
+    (b"X-Attempt-Id", b"X-Attempt\x01Id"),
+    (b"X-Attempt-Id: ", b"X-Attempt-Id: \0"),
+    (b"Content-Length", b"Content-Length "),
+    (b"Content-Length: ", b"Content-Length: +"),
+)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time to send the rest
 
 
@@ -111,10 +125,7 @@
     endless : float
         Probability of sending an answer without end, until the fault is over.
     spoil : float
-        Probability of replacing bytes of an answer, which is no HTTP answer then.
-    spoilings : tuple of (bytes, bytes)
-        Bytes of an answer and what replaces their first occurrence; one pair is chosen
-        for each such answer.
+        Probability of an answer that one of `SPOILINGS` makes no HTTP/1.1 answer.
     work_factor : float
         Factor on the duration of each request.
     never_answer : bool
@@ -139,7 +150,6 @@
     half: float = 0.0
     endless: float = 0.0
     spoil: float = 0.0
-    spoilings: tuple[tuple[bytes, bytes], ...] = ()
     work_factor: float = 1.0
     never_answer: bool = False
     rate_limit: float | None = None
@@ -368,7 +378,7 @@
             return False
         answer = interim + encode_message("HTTP/1.1 200 OK", headers, body)
         if self._should_inject(faults.spoil):
-            sock.sendall(answer.replace(*self._rng.choice(faults.spoilings), 1))
+            sock.sendall(answer.replace(*self._rng.choice(SPOILINGS), 1))
             return True
         if self._should_inject(faults.truncate):
             sock.sendall(answer[: len(answer) // 2])
--- a/standins/world/cluster_test.py
+++ b/standins/world/cluster_test.py
@@ -17,20 +17,6 @@
 
 SHARDS = tuple(f"shard{number}" for number in range(6))
 VMS = ("vm0", "vm1", "vm2")
-# Bytes of an answer, and bytes that make it no HTTP/1.1 answer in their place.
-SPOILINGS = (
-    *((b"1.1 200", b"1.1 %b" % s) for s in (b"000", b"001", b"099", b"600", b"999")),
-    (b"HTTP/1.1", b"RTSP/1.0"),
-    (b"HTTP/1.1", b"HTTP/2.0"),
-    (b"HTTP/1.1", b"\r\nHTTP/1.1"),
-    (b"200 OK", b"200 O\0K"),
-    (b"200 OK\r\n", b"200 OK\r\n X: y\r\n"),
-    (b"X-Response-Seal", b"X-Response Seal"),
-    (b"X-Attempt-Id", b"X-Attempt\x01Id"),
-    (b"X-Attempt-Id: ", b"X-Attempt-Id: \0"),
-    (b"Content-Length", b"Content-Length "),
-    (b"Content-Length: ", b"Content-Length: +"),
-)
 WAIT_TIMEOUT_S = 20.0  # far above the usual time, for a busy machine
 
 
@@ -305,7 +291,7 @@
         routes = [make_search_route(SHARDS), make_desk_route("idempotent")]
         self.cluster.configure(routes, [*SHARDS, "desk"])
         self.cluster.start_all()
-        self.inject_faults(spoil=0.15, spoilings=SPOILINGS)
+        self.inject_faults(spoil=0.15)
         served = 0
         sock = eventlet.connect(self.cluster.vms["vm0"].caller_address)
         self.addCleanup(sock.close)
@@ -323,7 +309,7 @@
 
     def test_a_note_with_a_broken_answer_runs_once_and_is_not_called_unrun(self):
         self.cluster.start_all()
-        self.inject_faults(spoil=1.0, spoilings=SPOILINGS)
+        self.inject_faults(spoil=1.0)
         for _ in range(20):
             note = self.send_note()
             assert note.status == 502, note
