--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -36,7 +36,7 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Record that all headers were received; the body must be readable."""
+        """Check how the body is encoded; a reply to HEAD ends here."""
         super().on_headers_complete()
         if self.status not in INTERIM_STATUSES:
             self._check_transfer_coding()
--- a/packages/cassiastaird/cassiastaird/targets/reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/targets/reply_reader.py
@@ -68,7 +68,8 @@
         self.done = False
         self.keep_alive = True
         self._received = 0
-        # Bytes from the last status line on that is not known to be valid, if any.
+        # Bytes since the start of a status line that was not checked yet; None once
+        # that of the final reply was.
         self._unchecked: bytes | None = b""
         self._forget_message()
 
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -69,7 +69,10 @@
         reader = RequestReader(sock)
         while reader.read() is not None:
             reply = self.script.popleft()
-            self._send(sock, reply.data)
+            try:
+                self._send(sock, reply.data)
+            except OSError:
+                break  # the client has closed the connection
             if reply.ending == "half":
                 sock.shutdown(socket.SHUT_WR)
             elif reply.ending:
