--- a/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/full_reply_reader.py
@@ -85,7 +85,7 @@
     def _has_length(self) -> bool:
         """Return True if the headers define where the body ends."""
         names = {name.lower() for name, _ in self._headers}
-        return b"content-length" in names or b"transfer-encoding" in names
+        return b"content-length" in names or TRANSFER_ENCODING in names
 
     def build_reply(self) -> HttpReply:
         """Return the reply; it must be done."""
--- a/packages/cassiastaird/cassiastaird/targets/client_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/client_test.py
@@ -20,7 +20,7 @@
 from cassiastair.tickets import Catalogue
 from testtools import TestCase
 
-from standins.raw_http import format_reply
+from standins.raw_http import STATUSES_OUT_OF_RANGE, format_reply
 from standins.scripted_target import Reply, ScriptedTarget
 from standins.target_server import TargetServer
 from standins.target_settings import BAD_ANSWERS, TargetSettings
@@ -348,7 +348,7 @@
 
     @pytest.mark.proof(promise="own answer", failure="the status is out of range")
     def test_a_reply_whose_status_is_out_of_range_is_no_answer(self):
-        for status in (b"000", b"001", b"099", b"600", b"999"):
+        for status in STATUSES_OUT_OF_RANGE:
             self.check_no_answer(WHOLE.replace(b"200", status, 1))
             self.check_no_answer(self.REFUSAL.replace(b"503", status, 1))
 
--- a/packages/cassiastaird/cassiastaird/targets/codec_test.py
+++ b/packages/cassiastaird/cassiastaird/targets/codec_test.py
@@ -1,28 +1,15 @@
 """Tests of the target protocol's codec with bodies of any content."""
 
 import orjson
-from cassiastair.data import Attempt, KeyRange, Snapshot
+from cassiastair.data import Attempt, Snapshot
 from cassiastair.targets import BadAnswerFailure, TargetFailure
 from testtools import TestCase
 
+from .client_test import ALL_KEYS, ANSWER
 from .codec import decode_failure, decode_read, decode_report
 
-ATTEMPT = Attempt("a1", "s", Snapshot(2, 1), KeyRange(0, 9), {}, 1.0, "")
-ANSWER = {
-    "attempt": "a1",
-    "service": "s",
-    "version": 2,
-    "epoch": 1,
-    "start": 0,
-    "end": 9,
-    "records": [],
-    "held": [[1, 2, 2]],
-    "incarnation": "i",
-    "serving": True,
-    "load": 0.5,
-    "pause_ms": 5,
-    "code": "not_held",
-}
+ATTEMPT = Attempt("a1", "s", Snapshot(2, 1), ALL_KEYS, {}, 1.0, "")
+WHOLE = ANSWER | {"load": 0.5, "pause_ms": 5, "code": "not_held"}
 VALUES = (
     None,
     True,
@@ -47,12 +34,12 @@
     """Return bodies that lack a field, or have one of another type."""
     documents = []
     for code in CODES:
-        whole = ANSWER | {"code": code}
+        whole = WHOLE | {"code": code}
         documents.append(whole)
-        for field in ANSWER:
+        for field in WHOLE:
             documents.append({k: v for k, v in whole.items() if k != field})
             documents += [whole | {field: value} for value in VALUES]
-    whole = orjson.dumps(ANSWER)
+    whole = orjson.dumps(WHOLE)
     others = (b"", b"[]", b"1", b"null", b"\xff", b"[" * 5000, whole[:-1])
     return [orjson.dumps(document) for document in documents] + list(others)
 
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -11,6 +11,7 @@
 MAX_HEAD_BYTES = 16_384
 RECEIVE_BUFFER_BYTES = 65_536
 PHRASES = {200: "OK"}
+STATUSES_OUT_OF_RANGE = (b"000", b"001", b"099", b"600", b"999")
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -9,6 +9,7 @@
 from eventlet.green import socket
 from eventlet.semaphore import Semaphore
 
+from ..raw_http import STATUSES_OUT_OF_RANGE
 from .http_messages import Message, MessageReader, encode_message, send_without_end
 from .store import Store
 
@@ -18,7 +19,7 @@
 FRAMINGS = ("length", "chunks", "none")
 # Bytes of an answer, and bytes that make it no HTTP/1.1 answer in their place.
 SPOILINGS = (
-    *((b"1.1 200", b"1.1 %b" % s) for s in (b"000", b"001", b"099", b"600", b"999")),
+    *((b"1.1 200", b"1.1 %b" % status) for status in STATUSES_OUT_OF_RANGE),
     (b"HTTP/1.1", b"RTSP/1.0"),
     (b"HTTP/1.1", b"HTTP/2.0"),
     (b"HTTP/1.1", b"\r\nHTTP/1.1"),
