--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -176,6 +176,8 @@
         Number of requests that it executes at the same time.
     faults : Faults
         Faults to inject; they may change while the back end runs.
+    answer_bytes : int or None
+        Size of the body of each answer; None for a few records.
     """
 
     name: str
@@ -184,6 +186,7 @@
     mean_work_s: float = 0.005
     concurrency: int = 2
     faults: Faults = field(default_factory=Faults)
+    answer_bytes: int | None = None
 
 
 class BackEnd:
@@ -360,7 +363,10 @@
         seal = f"{self.spec.name}.{attempt_id}"
         headers = {"X-Attempt-Id": attempt_id, "X-Response-Seal": seal}
         headers |= make_notice_headers(faults)
-        body = make_body(self.spec.service, attempt_id)
+        if self.spec.answer_bytes is None:
+            body = make_body(self.spec.service, attempt_id)
+        else:
+            body = bytes(self.spec.answer_bytes)
         if self._should_inject(faults.error):
             sock.sendall(encode_message("HTTP/1.1 500 Failed", headers, body))
             return True
--- a/standins/world/cluster.py
+++ b/standins/world/cluster.py
@@ -25,6 +25,7 @@
 POLL_INTERVAL_S = 0.05
 DEFAULT_GRACE_S = 6.0  # for which a VM that stops may serve
 MEMORY_MB = 300  # limit of the memory of a VM's process
+MAX_FDS = 4096  # limit of its descriptors
 SETTINGS_TEMPLATE = """\
 nodeName = "{name}"
 zone = "{zone}"
@@ -35,7 +36,7 @@
 ready = "{host}:{ready}"
 control = "{host}:{control}"
 [limits]
-maxFds = 4096
+maxFds = {max_fds}
 memoryMb = {memory_mb}
 [bounds]
 drainMs = 3000
@@ -208,6 +209,7 @@
                 "ready": vm_ports[1],
                 "control": vm_ports[2],
                 "memory_mb": MEMORY_MB,
+                "max_fds": MAX_FDS,
                 "grace_s": DEFAULT_GRACE_S,
                 "store": f"{address[0]}:{address[1]}",
             }
