Release an answer and received bytes before a connection waits

What callers saw: a process ran out of memory under clients that send several requests at once for long answers and read them slowly.

Cause: the loop that answers the requests of a connection kept the last answer in a local variable while the next request waited for a target, where no account knows it. The loop that reads kept the last received bytes in the same way, and an error that waits for the answers before it kept them through its traceback.

Change: an answer and received bytes belong to methods that end before the next wait; the error drops its frames.

--- a/packages/cassiastair/cassiastair/errors.py
+++ b/packages/cassiastair/cassiastair/errors.py
@@ -239,3 +239,17 @@
     code = "run_unknown"
     status = 502
     remedy = "repeat it only if it may run twice"
+
+
+def release_frames(error: BaseException) -> None:
+    """Drop the references of an error to the frames that it has passed.
+
+    Their local variables, such as received bytes, live as long as the error. A frame
+    that refers to the error keeps both until a collection of garbage.
+
+    Parameters
+    ----------
+    error : BaseException
+        Error that is kept after it was handled; its text is unchanged.
+    """
+    error.__traceback__ = error.__cause__ = error.__context__ = None
--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -13,6 +13,7 @@
     CassiastairError,
     MalformedRequestError,
     MemoryFullError,
+    release_frames,
 )
 from eventlet.green import socket
 from greenlet import GreenletExit
@@ -94,11 +95,8 @@
         try:
             if not self._memory.open():
                 self._refuse(self._handler.memory.connections.refuse(CONNECTION_BYTES))
-            while not self._closing:
-                data = self._receive()
-                if not data or self.closed:
-                    break  # an answer could not be sent any more
-                self._handle_data(data)
+            while not self._closing and self._read_part():
+                pass
             if self._lingers:
                 self._discard_rest()
         except (OSError, EOFError):
@@ -115,6 +113,20 @@
                 self._memory.close()
                 self._sock.close()
 
+    def _read_part(self) -> bool:
+        """Receive and handle bytes, which are released with the end of this method.
+
+        Returns
+        -------
+        bool
+            False if the caller sends no more, or an answer could not be sent.
+        """
+        data = self._receive()
+        if not data or self.closed:
+            return False
+        self._handle_data(data)
+        return True
+
     def _receive(self) -> bytes:
         """Reserve memory for the request that arrives and receive a part of it.
 
@@ -173,22 +185,27 @@
         self._received_at = self._handler.clock.now()
         if not self._reader.partial:
             self._last_activity_at = self._received_at
+        self._start_serving(self._parse(data))
+        while (
+            self._serving_task is not None
+            and len(self._reader.requests) >= MAX_PIPELINED
+        ):
+            eventlet.sleep(0.01)
+
+    def _parse(self, data: bytes) -> CassiastairError | None:
+        """Parse received bytes; return an error that ends the connection, if any."""
         self._reader.limits = self._handler.limits
         complete_count = len(self._reader.requests)
         error = None
         try:
             self._reader.feed(data)
         except CassiastairError as failure:
+            release_frames(failure)  # it waits for the answers before it
             error = failure
         for request, _ in islice(self._reader.requests, complete_count, None):
             if not self._memory.add_complete(request):
                 self._closing = self._lingers = True
-        self._start_serving(error)
-        while (
-            self._serving_task is not None
-            and len(self._reader.requests) >= MAX_PIPELINED
-        ):
-            eventlet.sleep(0.01)
+        return error
 
     def _start_serving(self, error: CassiastairError | None) -> None:
         """Start the serving task if it is not running and has work to do."""
@@ -201,21 +218,7 @@
         """Answer the complete requests, then report an error of the connection."""
         try:
             while self._reader.requests:
-                message, keep_alive = self._reader.requests.popleft()
-                has_body = message.method != b"HEAD"
-                keep_alive = keep_alive and not self._handler.should_close_connections()
-                if self._memory.has_first():
-                    reply = self._handler.answer(message, self._measure_caller_rtt())
-                else:
-                    keep_alive = False
-                    reply = self._handler.answer_error(
-                        self._handler.memory.requests.refuse(SMALL_BODY_BYTES)
-                    )
-                del message
-                self._memory.release_first()
-                keep_alive = keep_alive and not self._handler.should_close_connections()
-                self._send(reply, keep_alive, has_body)
-                if not keep_alive:
+                if not self._answer_first():
                     self._closing = True
                     break
             if error is not None:
@@ -232,6 +235,28 @@
             if self._closing:
                 self._shut_down()
 
+    def _answer_first(self) -> bool:
+        """Answer the oldest complete request; return whether the connection stays open.
+
+        Its answer is released with the end of this method, since the next request may
+        wait long for a target.
+        """
+        message, keep_alive = self._reader.requests.popleft()
+        has_body = message.method != b"HEAD"
+        keep_alive = keep_alive and not self._handler.should_close_connections()
+        if self._memory.has_first():
+            reply = self._handler.answer(message, self._measure_caller_rtt())
+        else:
+            keep_alive = False
+            reply = self._handler.answer_error(
+                self._handler.memory.requests.refuse(SMALL_BODY_BYTES)
+            )
+        del message
+        self._memory.release_first()
+        keep_alive = keep_alive and not self._handler.should_close_connections()
+        self._send(reply, keep_alive, has_body)
+        return keep_alive
+
     def _measure_caller_rtt(self) -> float:
         """Return the network time of a request and its answer, in seconds.
 
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import tracemalloc
+import weakref
 from unittest import mock
 
 import eventlet
@@ -408,6 +409,38 @@
         head, _, rest = received.partition(b"\r\n\r\n")
         assert rest.startswith(b"HTTP/1.1 404")
 
+    def test_a_sent_answer_is_released_while_the_next_request_waits(self):
+        class TrackedReply(HttpReply):
+            """Reply that can be referred to weakly."""
+
+        replies = []
+
+        def answer(message, caller_rtt) -> HttpReply:
+            if message.url == b"/b":
+                eventlet.sleep(60.0)
+            reply = TrackedReply(200, (), message.url)
+            replies.append(weakref.ref(reply))
+            return reply
+
+        self.handler.answer = answer
+        self.caller.sendall(GET + GET.replace(b"/a", b"/b"))
+        assert self.receive().endswith(b"/a")
+        eventlet.sleep(0)
+        assert replies[0]() is None
+
+    def test_an_error_that_waits_for_an_answer_keeps_no_received_bytes(self):
+        self.handler.pause = 60.0
+        errors = []
+        self.handler.answer_error = errors.append
+        with mock.patch.object(
+            self.connection, "_start_serving", wraps=self.connection._start_serving
+        ) as start:
+            self.caller.sendall(GET + b"\x00\x01\x02")
+            eventlet.sleep(0.01)
+        error = start.call_args.args[0]
+        assert isinstance(error, MalformedRequestError)
+        assert error.__traceback__ is error.__cause__ is error.__context__ is None
+
     def test_a_stopping_vm_answers_and_closes(self):
         self.handler.stopping = True
         self.caller.sendall(GET)
