Release requests and replies without a collection of garbage

Cause: the timers of a request refer to it, and its replies, by the methods that they call; an error of a send refers to the frames that hold the send. Such cycles wait for a collection, which is rare here, since it delays requests.

Change: timers are cleared at the end of a request, in both engines; a kept failure drops its frames; a merged part and a late reply are dropped at once.

--- a/packages/cassiastair/cassiastair/forwarding/scatter.py
+++ b/packages/cassiastair/cassiastair/forwarding/scatter.py
@@ -37,8 +37,8 @@
     ----------
     service : str
         Service of the shard.
-    reply : TargetReply or None
-        Successful reply, if there is one.
+    answered : bool
+        Whether a successful reply has been merged.
     failed : bool
         Whether the search has given up on the shard.
     sends : list of Send
@@ -58,7 +58,7 @@
 
     __slots__ = (
         "service",
-        "reply",
+        "answered",
         "failed",
         "sends",
         "handled_count",
@@ -70,7 +70,7 @@
 
     def __init__(self, service: str):
         self.service = service
-        self.reply: TargetReply | None = None
+        self.answered = False
         self.failed = False
         self.sends: list[Send] = []
         self.handled_count = 0
@@ -87,7 +87,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the shard may still contribute a part."""
-        return self.reply is None and not self.failed
+        return not self.answered and not self.failed
 
 
 class Scatter:
@@ -152,6 +152,7 @@
             return self._make_answer()
         finally:
             self._results.close()
+            self._timers.clear()
             stop_later([send for send in self._shard_of if not send.ended])
 
     def finish(self) -> None:
@@ -281,6 +282,7 @@
         outcome = send.outcome
         shard.handled_count += 1
         if isinstance(outcome, TargetReply) and outcome.succeeded:
+            send.outcome = None  # the other shards may take long; it is merged now
             if shard.is_open:
                 self._accept_reply(shard, outcome)
             return
@@ -288,7 +290,7 @@
 
     def _accept_reply(self, shard: ShardState, reply: TargetReply) -> None:
         """Add a reply as the part of its shard, unless it repeats another part."""
-        shard.reply = reply
+        shard.answered = True
         self._open_count -= 1
         self._answered_count += 1
         if reply.seal not in self._seals:
@@ -402,7 +404,7 @@
             self._raise_failure()
         missing = len(self._shards) - len(self._seals)
         if missing:
-            lost = [s for s in self._shards if s.reply is None][:MAX_NAMED_SHARDS]
+            lost = [s for s in self._shards if not s.answered][:MAX_NAMED_SHARDS]
             no_hedge = {s.service: s.no_hedge for s in lost if s.no_hedge}
             self._deps.decision_log.warn(
                 "answered in part",
--- a/packages/cassiastair/cassiastair/forwarding/send.py
+++ b/packages/cassiastair/cassiastair/forwarding/send.py
@@ -5,6 +5,7 @@
 from eventlet import hubs, spawn_n
 from greenlet import greenlet
 
+from ..errors import release_frames
 from ..targets.failures import (
     BadAnswerFailure,
     BrokenFailure,
@@ -44,7 +45,9 @@
     ended : bool
         Whether the send has ended.
     outcome : TargetReply or TargetFailure or None
-        Reply or failure; None while there is neither.
+        Reply or failure; None while there is neither, and after a reply was merged.
+    is_abandoned : bool
+        Whether nobody waits for the outcome any more.
     """
 
     __slots__ = (
@@ -52,6 +55,7 @@
         "reason",
         "started_at",
         "ended",
+        "is_abandoned",
         "outcome",
         "_deps",
         "_latency",
@@ -69,6 +73,7 @@
         self.reason = reason
         self.started_at = deps.clock.now()
         self.ended = False
+        self.is_abandoned = False
         self.outcome: TargetReply | TargetFailure | None = None
         self._deps = deps
         self._latency = latency
@@ -100,10 +105,13 @@
     ) -> None:
         """Run the send in its task and report the outcome."""
         try:
-            self.outcome = self._exchange(request, deadline, at_most_once)
+            outcome = self._exchange(request, deadline, at_most_once)
         finally:
             self.ended = True
             self.stats.record_end(self)
+        if self.is_abandoned:
+            return
+        self.outcome = outcome
         on_end(self)
 
     def _exchange(self, request: CallerRequest, deadline: float, at_most_once: bool):
@@ -114,6 +122,7 @@
                 raise ConnectFailure("another process has the target's address")
             reply = self._deps.transport.send(target, request, deadline, at_most_once)
         except TargetFailure as failure:
+            release_frames(failure)
             self._record_failure_notice(request, failure)
             self._record_failure(failure)
             self._deps.send_counts.record_end(type(failure).__name__)
@@ -244,6 +253,8 @@
     The target does the work of a request that it has begun in any case. Closing the
     connection at once would only add the cost of opening a new one.
     """
+    for send in sends:
+        send.is_abandoned = True
     if sends:
         hubs.get_hub().schedule_call_global(ABANDONED_SEND_S, stop_all, sends)
 
--- a/packages/cassiastair/cassiastair/forwarding/single.py
+++ b/packages/cassiastair/cassiastair/forwarding/single.py
@@ -93,6 +93,7 @@
             return self._make_answer()
         finally:
             self._results.close()
+            self._timers.clear()
             stop_later([send for send in self._sends if not send.ended])
 
     def finish(self) -> None:
--- a/packages/cassiastair/cassiastair/forwarding/timers.py
+++ b/packages/cassiastair/cassiastair/forwarding/timers.py
@@ -31,6 +31,10 @@
         """
         heapq.heappush(self._heap, (due, next(self._order), action, argument))
 
+    def clear(self) -> None:
+        """Remove all actions, which refer to the request that they belong to."""
+        self._heap.clear()
+
     def next_due(self) -> float:
         """Return the time of the next action, infinity if there is none."""
         return self._heap[0][0] if self._heap else float("inf")
--- a/packages/cassiastair/cassiastair/search/engine_test.py
+++ b/packages/cassiastair/cassiastair/search/engine_test.py
@@ -1,5 +1,6 @@
 """Tests of the search engine: one snapshot, correct coverage, deadlines, hedging."""
 
+import gc
 import random
 from dataclasses import replace
 from unittest import mock
@@ -450,3 +451,22 @@
         for _ in range(50):
             bench.search()
         assert bench.client.get("s0.1").reads == asked
+
+
+class TestRelease(TestCase):
+    """What a search leaves behind while no garbage is collected."""
+
+    @in_virtual_time
+    def test_an_answered_search_is_released(self, clock):
+        bench = EngineBench(clock)
+        bench.set_up(services=3, replicas=2)
+        for _ in range(100):  # until hedges have a delay
+            bench.search()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        before = sum(type(item) is Scatter for item in gc.get_objects())
+        for _ in range(3):
+            bench.search()
+        after = sum(type(item) is Scatter for item in gc.get_objects())
+        assert after == before
--- a/packages/cassiastair/cassiastair/search/scatter.py
+++ b/packages/cassiastair/cassiastair/search/scatter.py
@@ -109,6 +109,7 @@
                     return
         finally:
             self._result_queue.close()
+            self._timers.clear()  # they refer to this scatter, which has the answers
             self._abandon_all()
 
     def missing_reasons(self) -> dict[tuple[str, KeyRange], MissingReason]:
