Parse costly bodies in turns, and answer pipelined requests in turns

What callers saw: with 100 clients that send bodies in chunks of one byte, a quarter of the answers of ordinary callers were lost and connections given up; with 1,500 there was no answer and the VM was not ready for 25 s.

Cause: a connection parsed all bytes that one read returned, up to 64 KB with over ten thousand chunks, and read on without a wait as long as more had arrived; all other tasks waited for each connection in turn. Pipelined requests that are answered without a wait held the loop in the same way, and a connection with 16 unanswered requests polled each 10 ms.

Change: bytes are parsed in parts of 2 KB (a body of stated length: in one), with other tasks in between; bodies that were seen to consist of small chunks take turns with one another, one part in a pass of the event loop. Requests that are read ahead count in the memory account, and the reader is woken by the answer.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -15,6 +15,7 @@
     MemoryFullError,
     release_frames,
 )
+from eventlet.event import Event
 from eventlet.green import socket
 from greenlet import GreenletExit
 
@@ -26,6 +27,7 @@
 
 RECEIVE_BYTES = 65_536
 HEAD_RECEIVE_BYTES = 8192  # read at a time until the length of a body is known
+PARSED_BYTES = 2048  # parsed before other tasks run, unless they are one long part
 LINGER_S = 2.0  # time to discard the rest of a refused request
 FIRST_REQUEST_WAIT_S = 0.5  # time that a stopping VM gives a new connection to send
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -70,6 +72,7 @@
         self._reader = RequestReader(handler.limits)
         self._memory = ConnectionMemory(handler.memory)
         self._serving_task = None
+        self._answered: Event | None = None
         self._closing = False
         self._last_activity_at = handler.clock.now()
         self._rtt: float | None = None
@@ -150,7 +153,8 @@
         if not reader.in_body:
             return self._sock.recv(HEAD_RECEIVE_BYTES)
         if reader.announced_length is None:
-            return self._sock.recv(RECEIVE_BYTES)
+            size = PARSED_BYTES if reader.has_small_chunks else RECEIVE_BYTES
+            return self._sock.recv(size)
         return self._sock.recv(
             min(RECEIVE_BYTES, max(1, reader.announced_length - reader.body_size))
         )
@@ -185,12 +189,31 @@
         self._received_at = self._handler.clock.now()
         if not self._reader.partial:
             self._last_activity_at = self._received_at
-        self._start_serving(self._parse(data))
+        start = 0
+        while start < len(data) and not self._closing:
+            if start:
+                eventlet.sleep(0)
+            if self._reader.has_small_chunks:
+                self._handler.turns.wait()
+            end = start + PARSED_BYTES + self._reader.missing_body_bytes
+            self._start_serving(self._parse(data[start:end]))
+            self._wait_for_answers()
+            start = end
+
+    def _wait_for_answers(self) -> None:
+        """Wait while as many complete requests as may be read ahead are unanswered."""
         while (
             self._serving_task is not None
             and len(self._reader.requests) >= MAX_PIPELINED
         ):
-            eventlet.sleep(0.01)
+            self._answered = Event()
+            self._answered.wait()
+
+    def _wake_reader(self) -> None:
+        """Let the reading task go on if it waits for an answer."""
+        if self._answered is not None:
+            answered, self._answered = self._answered, None
+            answered.send(None)
 
     def _parse(self, data: bytes) -> CassiastairError | None:
         """Parse received bytes; return an error that ends the connection, if any."""
@@ -221,6 +244,9 @@
                 if not self._answer_first():
                     self._closing = True
                     break
+                self._wake_reader()
+                if self._reader.requests:
+                    eventlet.sleep(0)
             if error is not None:
                 self._send(self._handler.answer_error(error), False)
         except (OSError, EOFError):
@@ -231,6 +257,7 @@
             raise
         finally:
             self._serving_task = None
+            self._wake_reader()
             self._last_activity_at = self._handler.clock.now()
             if self._closing:
                 self._shut_down()
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -15,6 +15,7 @@
 from .handler import RequestHandler
 from .http_codec import HttpCodec
 from .http_message import HttpReply, HttpRequest
+from .parsing_turns import ParsingTurns
 from .request_stats import RequestStats
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5  # interval of checks for connections to time out
@@ -78,6 +79,7 @@
         self._is_ready = is_ready
         self.clock = clock
         self.memory = memory
+        self.turns = ParsingTurns()
         self._connections: set[CallerConnection] = set()
         self._max_connections = max_connections
         self.refused_connections = 0
--- a/packages/cassiastaird/cassiastaird/entry/connection_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/connection_memory.py
@@ -12,6 +12,7 @@
 
 CONNECTION_BYTES = 24_576  # objects of a connection and the first bytes of a request
 HEAD_COPIES = 2  # in the parser and in the reader
+REQUEST_BYTES = 1024  # objects of a request that was read ahead
 SMALL_BODY_BYTES = 16_384
 CHUNKED_STEP_BYTES = 65_536  # reserved at a time for a body of unknown length
 GROWTH_FACTOR = 1.25  # a growing buffer has up to this many times its content
@@ -114,9 +115,11 @@
             arriving[0].release(arriving[1])
         holder = self._memory.requests
         size = len(request.body)
+        if self._complete:  # the connection's own part covers a single request
+            size += REQUEST_BYTES
         if len(request.headers) > COVERED_HEADERS:
             size += measure_headers(len(request.headers))
-        if self._complete:  # the connection's own part covers a single head
+        if self._complete:
             size += len(request.url) + sum(len(n) + len(v) for n, v in request.headers)
         is_reserved = not size or holder.try_reserve(size)
         self._complete.append((holder, size) if is_reserved else None)
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -31,6 +31,7 @@
 from .handler import RequestHandler
 from .http_message import HttpReply, HttpRequest
 from .metrics_page import MetricsPage
+from .parsing_turns import ParsingTurns
 from .request_reader import HeadersTooLargeError, RequestReader
 from .request_stats import RequestStats
 
@@ -307,6 +308,7 @@
         self.clock = ManualClock()
         self.pause = 0.0
         self.memory = EntryMemory(100_000_000, self.clock, lambda: 0)
+        self.turns = ParsingTurns()
         self.finished = []
         self.stopping = False
         self.open_connections = 1
--- a/packages/cassiastaird/cassiastaird/entry/handler.py
+++ b/packages/cassiastaird/cassiastaird/entry/handler.py
@@ -8,6 +8,7 @@
 
 from .entry_memory import EntryMemory
 from .http_message import HttpReply, HttpRequest
+from .parsing_turns import ParsingTurns
 
 
 class RequestHandler(ABC):
@@ -19,10 +20,13 @@
         Source of time.
     memory : EntryMemory
         Memory for the bytes of callers.
+    turns : ParsingTurns
+        Turns in which connections parse costly bodies.
     """
 
     clock: Clock
     memory: EntryMemory
+    turns: ParsingTurns
 
     @property
     @abstractmethod
--- a/packages/cassiastaird/cassiastaird/entry/request_reader.py
+++ b/packages/cassiastaird/cassiastaird/entry/request_reader.py
@@ -9,6 +9,9 @@
 from ..body_buffer import MAX_FRAMING_PER_BODY_BYTE, BodyBuffer
 from .http_message import HttpRequest
 
+# Of received bytes; a chunk of 48 bytes has a frame of 6.
+SMALL_CHUNKS_BODY_SHARE = 0.9
+
 
 class HeadersTooLargeError(CassiastairError):
     """The head of a request is larger than the limit."""
@@ -41,6 +44,9 @@
         Whether the caller waits for `100 Continue` before it sends the body.
     announced_length : int or None
         Length of the body of that request; None if its head does not state it.
+    has_small_chunks : bool
+        Whether a part of that body was in chunks so small that they cost much
+        processor time.
     """
 
     def __init__(self, limits: CallerLimits):
@@ -61,6 +67,7 @@
         self._headers_size = 0
         self._head_size = 0
         self.announced_length = None
+        self.has_small_chunks = False
         self._body.clear()
         self._received_in_body = 0
 
@@ -74,6 +81,13 @@
         """Bytes of the body that have arrived of the request that has begun."""
         return self._body.size
 
+    @property
+    def missing_body_bytes(self) -> int:
+        """Bytes that a body of stated length lacks; 0 for other requests."""
+        if self.announced_length is None:
+            return 0
+        return self.announced_length - self._body.size
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
@@ -83,7 +97,8 @@
             If the connection cannot be read further; requests that were complete
             before stay queued.
         """
-        if self.in_body:
+        was_in_body, body_size = self.in_body, self._body.size
+        if was_in_body:
             self._received_in_body += len(data)
         else:
             self._head_size += len(data)
@@ -101,6 +116,10 @@
         if self.partial and not self.in_body:
             if self._head_size > self.limits.header_bytes + len(data):
                 raise HeadersTooLargeError("the head is larger than the limit")
+        if was_in_body and self.in_body and self.announced_length is None:
+            added = self._body.size - body_size
+            if added < SMALL_CHUNKS_BODY_SHARE * len(data):
+                self.has_small_chunks = True
         framing = self._received_in_body - self._body.size
         allowed = MAX_FRAMING_PER_BODY_BYTE * self._body.size + len(data)
         if framing > self.limits.header_bytes + allowed:
