Count the sockets of refused callers, and make room among silent ones

What callers saw: a crowd of 1,200 that stops short of the end of its bodies took 1,128 descriptors of a process that may have 800.

Cause: a refused caller gets up to two seconds to read its answer. Its connection counted as closed meanwhile, so that the bound on callers' connections did not hold for their sockets.

Change: a connection counts until its socket is closed. When all are in use and none is idle, the one that has made no progress for longest, and for longer than a head may take, gives way; the search for it is made at most ten times a second, and the loop that accepts lets other tasks run after each caller that it turns away.

A VM that is full of silent connections served nobody new until the idle time was over (unit test).

--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -22,6 +22,7 @@
 # Accepted connections inherit it. What the kernel holds while a connection waits for
 # memory counts toward the limit of the process.
 RECEIVE_BUFFER_BYTES = 32_768
+ROOM_SEARCH_INTERVAL_S = 0.1  # between searches for a connection to close
 ACCEPT_RETRY_S = 0.05  # pause after a failed accept, for example out of descriptors
 
 
@@ -81,6 +82,8 @@
         self.memory = memory
         self.turns = ParsingTurns()
         self._connections: set[CallerConnection] = set()
+        self._socket_count = 0
+        self._no_room_until = float("-inf")
         self._max_connections = max_connections
         self.refused_connections = 0
         self._listener = None
@@ -130,16 +133,40 @@
         if not self._make_room():
             self.refused_connections += 1
             sock.close()
+            eventlet.sleep(0)  # many may wait to be accepted
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self)
         self._connections.add(connection)
-        eventlet.spawn_n(connection.run)
+        self._socket_count += 1
+        eventlet.spawn_n(self._run_connection, connection)
+
+    def _run_connection(self, connection: CallerConnection) -> None:
+        """Serve a connection; its socket counts until it is closed.
+
+        A refused caller gets some time to read the answer, for which its connection
+        counts as closed already.
+        """
+        try:
+            connection.run()
+        finally:
+            self._socket_count -= 1
 
     def _make_room(self) -> bool:
         """Return True if one more connection fits, if need be after a close."""
-        if len(self._connections) < self._max_connections:
+        if self._socket_count < self._max_connections:
             return True
+        now = self.clock.now()
+        if now < self._no_room_until:
+            return False
+        if self._close_idle_connection() or self._close_silent_connection():
+            eventlet.sleep(0)  # its task closes the socket
+            return True
+        self._no_room_until = now + ROOM_SEARCH_INTERVAL_S
+        return False
+
+    def _close_idle_connection(self) -> bool:
+        """Close the connection that is idle for longest; return False if none is."""
         idle = [c for c in self._connections if c.is_idle]
         idle.sort(key=lambda connection: connection.last_activity_at)
         for connection in idle:
@@ -148,6 +175,16 @@
                 return True
         return False
 
+    def _close_silent_connection(self) -> bool:
+        """Close the connection without progress for longest; return False if none is.
+
+        Each has the time that a head may take.
+        """
+        silent = self._find_silent(self.clock.now())
+        if silent:
+            silent[0].close_for_memory()
+        return bool(silent)
+
     def close_timed_out(self) -> None:
         """Close connections that time out, for as long as the process runs."""
         while True:
@@ -173,14 +210,18 @@
         needed = self.memory.take_shortage()
         if not needed:
             return
+        for connection in self._find_silent(now):
+            if needed <= 0:
+                return
+            needed -= connection.close_for_memory()
+
+    def _find_silent(self, now: float) -> list[CallerConnection]:
+        """Return the connections without progress for too long, the longest first."""
         limit = self.limits.header_timeout
         silent = [(c.find_silence(now), c) for c in self._connections]
         silent = [item for item in silent if item[0] > limit]
         silent.sort(key=lambda item: -item[0])
-        for _, connection in silent:
-            if needed <= 0:
-                return
-            needed -= connection.close_for_memory()
+        return [connection for _, connection in silent]
 
     @property
     def open_count(self) -> int:
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -618,6 +618,10 @@
         """Return the path."""
         return HttpReply(200, (), message.url)
 
+    def answer_error(self, error: CassiastairError) -> HttpReply:
+        """Return the status of the error."""
+        return HttpReply(error.status, (), b"")
+
 
 class TestListen(TestCase):
     """Listeners of the daemon."""
@@ -670,6 +674,25 @@
         assert self.server.open_count == len(callers)
         assert self.server.refused_connections == 1
 
+    def test_a_silent_connection_makes_room(self):
+        self.fill(GET[:10])
+        self.server.clock.advance(self.server.limits.header_timeout + 1.0)
+        assert b"200" in self.connect(GET).recv(1000)
+        assert self.server.refused_connections == 0
+
+    def test_refused_callers_count_until_their_sockets_are_closed(self):
+        with mock.patch.object(
+            self.server.memory.connections, "try_reserve", return_value=False
+        ):
+            callers = [self.connect(GET) for _ in range(6)]
+            eventlet.sleep(0.05)
+            assert self.server.refused_connections == 3
+        for caller in callers:
+            caller.close()
+        eventlet.sleep(0.05)
+        self.server.clock.advance(1.0)
+        assert b"200" in self.connect(GET).recv(1000)
+
 
 class TestUnexpectedErrors(TestCase):
     """Errors of the parts that answer a request."""
