Reserve what the kernel holds for a connection, and bound refused ones

What callers saw: a process ran out of memory under many bodies that stop short of their end.

Change: the receive buffer is half as large, and the reservation of a connection includes it and its request (40 KB for 24). While memory for connections is full, at most 200 refused callers get time to read the answer; others are closed at once, unread.

--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -11,6 +11,7 @@
 
 from ..drain import Drain
 from .caller_connection import CallerConnection
+from .connection_memory import CONNECTION_BYTES
 from .entry_memory import EntryMemory
 from .handler import RequestHandler
 from .http_codec import HttpCodec
@@ -19,10 +20,11 @@
 from .request_stats import RequestStats
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5  # interval of checks for connections to time out
-# Accepted connections inherit it. What the kernel holds while a connection waits for
-# memory counts toward the limit of the process.
-RECEIVE_BUFFER_BYTES = 32_768
+# Accepted connections inherit it. What the kernel holds unread counts toward the limit
+# of the process; `CONNECTION_BYTES` includes it.
+RECEIVE_BUFFER_BYTES = 16_384
 ROOM_SEARCH_INTERVAL_S = 0.1  # between searches for a connection to close
+MAX_REFUSED_OPEN = 200  # refused callers that get time to read the answer
 ACCEPT_RETRY_S = 0.05  # pause after a failed accept, for example out of descriptors
 
 
@@ -154,6 +156,10 @@
 
     def _make_room(self) -> bool:
         """Return True if one more connection fits, if need be after a close."""
+        refused_count = self._socket_count - len(self._connections)
+        if refused_count >= MAX_REFUSED_OPEN:
+            if self.memory.connections.available < CONNECTION_BYTES:
+                return False  # it would be refused too, and wait to be closed
         if self._socket_count < self._max_connections:
             return True
         now = self.clock.now()
--- a/packages/cassiastaird/cassiastaird/entry/connection_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/connection_memory.py
@@ -10,7 +10,9 @@
 from .http_message import HttpRequest
 from .request_reader import RequestReader
 
-CONNECTION_BYTES = 24_576  # objects of a connection and the first bytes of a request
+# Objects of a connection and of a request that is served, the first bytes of a
+# request, and what the kernel holds of it unread.
+CONNECTION_BYTES = 40_960
 HEAD_COPIES = 2  # in the parser and in the reader
 REQUEST_BYTES = 1024  # objects of a request that was read ahead
 SMALL_BODY_BYTES = 16_384
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -23,7 +23,7 @@
 from ..drain import Drain
 from ..targets.reply_memory import ReplyMemory
 from .caller_connection import CallerConnection
-from .caller_server import CallerServer
+from .caller_server import MAX_REFUSED_OPEN, CallerServer
 from .entry_daemon import EntryDaemon, listen
 from .entry_memory import EntryMemory
 from .event_log import MAX_BURST_LINES, EventLog
@@ -693,6 +693,19 @@
         self.server.clock.advance(1.0)
         assert b"200" in self.connect(GET).recv(1000)
 
+    def test_few_refused_callers_get_time_while_memory_is_full(self):
+        self.server = EchoServer(max_connections=1000)
+        listener = self.listener = eventlet.listen(("127.0.0.1", 0))
+        task = eventlet.spawn(self.server.run, listener)
+        self.addCleanup(task.kill)
+        connections = self.server.memory.connections
+        assert connections.try_reserve(connections.available)
+        callers = [self.connect(b"") for _ in range(MAX_REFUSED_OPEN + 30)]
+        eventlet.sleep(0.05)
+        # A refused connection counts as open for a few passes of the event loop.
+        assert 20 <= self.server.refused_connections <= 30
+        assert all(caller.fileno() >= 0 for caller in callers)
+
 
 class TestUnexpectedErrors(TestCase):
     """Errors of the parts that answer a request."""
