Account for answers as a whole, and bound the kernel's part of them

What callers saw: a process ran out of memory under long answers that many clients read slowly.

Cause: the kernel's send buffer grows to megabytes, so that on loopback it took each answer of 400 KB whole and the account of answers stayed at 0; through small windows the account was in force, but it knew only the part that the kernel had not taken, while the process keeps the answer until its end. An answer that was refused for memory asked for no room, and one that is read at some bytes a second never counted as silent, so that such callers kept the memory for minutes.

Change: the send buffer of callers' connections is 64 KB; an answer reserves its whole size; one that was refused counts as a shortage; while memory is short, answers that take longer than a head may are closed, the longest first.

Evidence: the four unit tests fail on the code before.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -79,6 +79,8 @@
         self._received_at = self._last_activity_at
         self._is_unused = True
         self._is_writing = False
+        self._writing_since = self._last_activity_at
+        self._unsent_size = 0
         self._waits_for_memory = False
         self._lingers = False
         self.closed = False
@@ -305,17 +307,21 @@
     def _send_rest(self, rest: list[memoryview]) -> None:
         """Send the part of a reply that the kernel did not take at once.
 
+        Until the end of the reply, all of it takes memory, what was sent included.
+
         Raises
         ------
         OSError
             If the connection breaks, or there is no memory to keep the rest.
         """
         answers = self._handler.memory.answers
-        size = sum(len(part) for part in rest)
+        size = sum(len(part.obj) for part in rest)
         if not answers.try_reserve(size):
-            answers.refuse()
+            answers.refuse(size)
             raise ConnectionAbortedError("no memory for an answer that is not read")
+        self._unsent_size = size
         self._is_writing = True
+        self._writing_since = self._handler.clock.now()
         try:
             for part in rest:
                 while part:
@@ -323,6 +329,7 @@
                     self._last_activity_at = self._handler.clock.now()
         finally:
             self._is_writing = False
+            self._unsent_size = 0
             answers.release(size)
 
     def _stop_serving(self) -> None:
@@ -387,22 +394,24 @@
         self._shut_down()
 
     def find_silence(self, now: float) -> float:
-        """Return for how many seconds a request or an answer has not progressed.
+        """Return for how many seconds a request has not progressed.
 
-        It is 0 if none is unfinished, if the request waits for memory, and from when it
-        is complete until its answer.
+        For an answer it is the time since its first part was sent, since one that is
+        read slowly keeps its memory as long as one that is not read. It is 0 if none is
+        unfinished, if the request waits for memory, and from when it is complete until
+        its answer.
         """
         if self.closed or self._closing or self._waits_for_memory:
             return 0.0
         if self._is_writing:
-            return now - self._last_activity_at
+            return now - self._writing_since
         if self._serving_task is None and self._reader.partial:
             return now - self._received_at
         return 0.0
 
     def close_for_memory(self) -> int:
         """Close the connection; return how much memory that releases."""
-        size = self._memory.size
+        size = self._memory.size + self._unsent_size
         if self._is_writing:
             self._closing = True
             self._shut_down()
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -23,6 +23,9 @@
 # Accepted connections inherit it. What the kernel holds unread counts toward the limit
 # of the process; `CONNECTION_BYTES` includes it.
 RECEIVE_BUFFER_BYTES = 16_384
+# Accepted connections inherit it, too. Without it, the kernel takes megabytes of an
+# answer for a connection that is not read.
+SEND_BUFFER_BYTES = 65_536
 ROOM_SEARCH_INTERVAL_S = 0.1  # between searches for a connection to close
 MAX_REFUSED_OPEN = 200  # refused callers that get time to read the answer
 ACCEPT_RETRY_S = 0.05  # pause after a failed accept, for example out of descriptors
@@ -111,6 +114,7 @@
         """Accept connections until the listener is closed."""
         self._listener = listener
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         while True:
             try:
                 sock, _ = listener.accept()
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -568,6 +568,27 @@
         self.caller.sendall(GET)
         self.wait_until_closed()
         assert answers.refused_count == 1
+        assert self.handler.memory.take_shortage() >= 10**7
+
+    def test_an_answer_counts_as_a_whole_until_its_end(self):
+        answers = self.handler.memory.answers
+        self.handler.answer = lambda message, rtt: HttpReply(200, (), bytes(10**6))
+        self.caller.sendall(GET)
+        eventlet.sleep(0.01)
+        assert self.receive()
+        eventlet.sleep(0.01)
+        assert answers.held >= 10**6
+        assert self.connection.close_for_memory() >= 10**6
+
+    def test_an_answer_that_is_read_slowly_counts_as_silent(self):
+        self.handler.answer = lambda message, rtt: HttpReply(200, (), bytes(10**6))
+        self.caller.sendall(GET)
+        eventlet.sleep(0.01)
+        for _ in range(5):
+            self.handler.clock.advance(1.0)
+            assert self.receive()
+            eventlet.sleep(0.01)
+        assert self.connection.find_silence(self.handler.clock.now()) >= 5.0
 
 
 class TestTimeoutCheck(TestCase):
@@ -631,6 +652,20 @@
         self.addCleanup(listener.close)
         self.assertRaises(OSError, listen, *listener.getsockname())
 
+    def test_the_kernel_takes_little_of_an_answer_that_is_not_read(self):
+        server = EchoServer()
+        server.answer = lambda message, rtt: HttpReply(200, (), bytes(10**6))
+        listener = listen("127.0.0.1", 0)
+        task = eventlet.spawn(server.run, listener)
+        self.addCleanup(task.kill)
+        eventlet.sleep(0)  # the server sets up its listener
+        caller = eventlet.connect(listener.getsockname())
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.sendall(GET)
+        eventlet.sleep(0.05)
+        assert server.memory.answers.held >= 10**6
+
 
 class TestConnectionBound(TestCase):
     """More callers than a VM has descriptors for."""
--- a/standins/world/crowd_test.py
+++ b/standins/world/crowd_test.py
@@ -33,6 +33,7 @@
 CALL_INTERVAL_S = 0.5
 CALL_TIMEOUT_S = 15.0
 CALM_TIMEOUT_S = 60.0
+SMALL_WINDOW_BYTES = 4096  # receive buffer of a caller
 BYTE_CHUNKS_BYTES = 60_000  # body of each caller that sends chunks of one byte
 
 
@@ -140,6 +141,10 @@
     def test_pipelined_answers_that_are_read_slowly(self):
         self.check_crowds({SLOW_PIPELINE: 300}, memory_mb=150)
 
+    def test_answers_that_are_read_slowly_through_small_windows(self):
+        slow = SlowReader(GET_LARGE, 3, 2048, SMALL_WINDOW_BYTES)
+        self.check_crowds({slow: 700}, memory_mb=150)
+
     def test_bodies_in_chunks_of_one_byte(self):
         self.check_crowds({BYTE_CHUNKS: 1500}, memory_mb=100)
 
