Let other tasks run while the rest of a refused request is discarded

Change: other tasks run after each part. The test fails (never ends, by its count of 100,000 parts) on the code before; over sockets it was not seen, since a sender here is slower than the loop.

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -183,7 +183,7 @@
         """
         with eventlet.Timeout(LINGER_S, False):
             while self._sock.recv(RECEIVE_BYTES):
-                pass
+                eventlet.sleep(0)  # more may have arrived, and the time must end
 
     def _handle_data(self, data: bytes) -> None:
         """Parse received bytes and start serving the complete requests."""
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -22,6 +22,7 @@
 
 from ..drain import Drain
 from ..targets.reply_memory import ReplyMemory
+from . import caller_connection
 from .caller_connection import CallerConnection
 from .caller_server import MAX_REFUSED_OPEN, CallerServer
 from .entry_daemon import EntryDaemon, listen
@@ -561,6 +562,16 @@
         self.wait_until_closed()
         assert reader.body_size == 0
 
+    def test_a_refused_caller_that_sends_without_end_is_left(self):
+        received = iter([b"x"] * 100_000)
+        sock = mock.Mock(recv=lambda size: next(received))
+        with (
+            mock.patch.object(self.connection, "_sock", sock),
+            mock.patch.object(caller_connection, "LINGER_S", 0.0),
+        ):
+            self.connection._discard_rest()
+        assert len(list(received)) > 0
+
     def test_an_unread_answer_without_memory_ends_only_its_connection(self):
         answers = self.handler.memory.answers
         assert answers.try_reserve(answers.available)
