--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -9,6 +9,7 @@
 from eventlet.green import socket
 from eventlet.greenio import GreenSocket
 
+from ..caller_sockets import bound_buffers
 from ..drain import Drain
 from .caller_connection import CallerConnection
 from .connection_memory import CONNECTION_BYTES
@@ -20,12 +21,6 @@
 from .request_stats import RequestStats
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5  # interval of checks for connections to time out
-# Accepted connections inherit it. What the kernel holds unread counts toward the limit
-# of the process; `CONNECTION_BYTES` includes it.
-RECEIVE_BUFFER_BYTES = 16_384
-# Accepted connections inherit it, too. Without it, the kernel takes megabytes of an
-# answer for a connection that is not read.
-SEND_BUFFER_BYTES = 65_536
 ROOM_SEARCH_INTERVAL_S = 0.1  # between searches for a connection to close
 MAX_REFUSED_OPEN = 200  # refused callers that get time to read the answer
 ACCEPT_RETRY_S = 0.05  # pause after a failed accept, for example out of descriptors
@@ -113,8 +108,7 @@
     def run(self, listener) -> None:
         """Accept connections until the listener is closed."""
         self._listener = listener
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        bound_buffers(listener)
         while True:
             try:
                 sock, _ = listener.accept()
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -3,7 +3,6 @@
 import math
 import os
 import random
-import resource
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -43,6 +42,7 @@
 from cassiastair.routing import RoutingTable
 
 from ..allocator import map_large_blocks
+from ..caller_sockets import CALLER_SOCKET_SHARE, find_max_sockets
 from ..drain import Drain
 from ..heap_freezer import HeapFreezer
 from ..peers import LinkManager, PeerServer
@@ -72,7 +72,6 @@
 ACCEPTING_SHARE = 0.5  # share of the stop grace for which connections are accepted
 BYE_FLUSH_S = 0.05  # time to send the last messages to peers
 STORE_READ_SHARE = 0.32  # of the memory, for one reading of the store
-CALLER_SOCKET_SHARE = 0.6  # of the sockets; the rest is for targets, peers and others
 REPLY_SHARE = 0.2  # of the memory, for replies that are being received
 STOP_MARGIN_S = 0.4  # time before the end of the grace at which requests are ended
 FINAL_ANSWERS_S = 0.1  # time to write the answers of requests that are ended
@@ -548,12 +547,6 @@
     return eventlet.listen((host, port), backlog=BACKLOG, reuse_port=False)
 
 
-def find_max_sockets(allowed: int) -> int:
-    """Return how many sockets may be open, by the settings and the system's limit."""
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return allowed if limit == resource.RLIM_INFINITY else min(allowed, limit)
-
-
 def refuse_call(call) -> tuple[int, dict]:
     """Answer 404 to a call; VMs that forward by routes accept no forwarded writes."""
     return 404, {}
