Run no request that was refused while its body waited to be parsed

What callers could have seen: a refusal with 408, which says that the request has not run and never will, and the request run all the same.

Cause: since bodies are parsed in parts with other tasks in between, a connection can time out between two parts. The rest was parsed nevertheless, and the request that it completed was served.

Change: the state of the connection is looked at after each wait, before the next part is parsed. The test fails without it ([b'/b'] was run).

--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -192,11 +192,13 @@
         if not self._reader.partial:
             self._last_activity_at = self._received_at
         start = 0
-        while start < len(data) and not self._closing:
+        while start < len(data):
             if start:
                 eventlet.sleep(0)
             if self._reader.has_small_chunks:
                 self._handler.turns.wait()
+            if self._closing:
+                return  # a request that was refused meanwhile must not run
             end = start + PARSED_BYTES + self._reader.missing_body_bytes
             self._start_serving(self._parse(data[start:end]))
             self._wait_for_answers()
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -55,7 +55,8 @@
     Attributes
     ----------
     refused_connections : int
-        Number of connections that were closed at once, above the bound.
+        Number of connections that were closed at once, for lack of descriptors or
+        memory.
     """
 
     def __init__(
--- a/packages/cassiastaird/cassiastaird/entry/reading_turns_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/reading_turns_test.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 import eventlet
+import pytest
 from eventlet import hubs
 from eventlet.green import socket
 from testtools import TestCase
@@ -70,6 +71,26 @@
         largest = self.measure_largest_turn(CONNECTION_COUNT * len(wire))
         assert largest <= LARGEST_BODY_BYTES, largest
 
+    @pytest.mark.proof(
+        promise='"not run" is true',
+        failure="a caller's body times out while it waits to be parsed",
+    )
+    def test_a_request_that_timed_out_while_it_waited_for_its_turn_does_not_run(self):
+        sock, caller = socket.socketpair()
+        self.addCleanup(caller.close)
+        connection = CallerConnection(sock, self.handler)
+        task = eventlet.spawn(connection.run)
+        self.addCleanup(task.kill)
+        caller.sendall(CHUNKED + b"1\r\na\r\n" * 1000)
+        eventlet.sleep(0.01)
+        with mock.patch.object(self.handler.turns, "wait") as wait:
+            wait.side_effect = lambda: connection.close_for_memory()
+            caller.sendall(b"0\r\n\r\n")
+            eventlet.sleep(0.01)
+        assert wait.called
+        assert caller.recv(12) == b"HTTP/1.1 408"
+        assert self.handler.finished == []
+
     def test_pipelined_requests_leave_turns_to_other_tasks(self):
         answered = []
 
