--- a/packages/cassiastaird/cassiastaird/api/app.py
+++ b/packages/cassiastaird/cassiastaird/api/app.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from ..drain import Drain
-from .connection import Phase
+from .phase import Phase
 from .protocol import CONNECTION_KEY, PROTOCOL_KEY
 from .query_handlers import QueryHandlers
 from .reply import ApiReply, reply_json
--- a/packages/cassiastaird/cassiastaird/api/connection.py
+++ b/packages/cassiastaird/cassiastaird/api/connection.py
@@ -1,11 +1,10 @@
 """State of one caller's connection to the interface, and the memory that it holds."""
 
-from enum import Enum
-
 from cassiastair.clock import Clock
 from eventlet.green import socket
 
 from ..entry.entry_memory import EntryMemory
+from .phase import Phase
 
 # Objects of a connection, the head of a request, and what the kernel holds unread.
 CONNECTION_BYTES = 65_536
@@ -15,15 +14,6 @@
 MEMORY_WAIT_S = 3.0
 
 
-class Phase(Enum):
-    """What a connection waits for."""
-
-    IDLE = "the next request"
-    RECEIVING = "the rest of a request"
-    WORKING = "the answer"
-    SENDING = "the caller to read the answer"
-
-
 class ApiConnection:
     """A connection with its phase and its reservations.
 
@@ -81,7 +71,7 @@
         is_small = length <= SMALL_BODY_BYTES
         holder = memory.requests if is_small else memory.bodies
         self.enter(Phase.WORKING)  # not a wait for the caller
-        memory.reserve(holder, size, MEMORY_WAIT_S, lambda: None)
+        memory.reserve(holder, size, MEMORY_WAIT_S, check_caller=lambda: None)
         self._reservations.append((holder, size))
         self.enter(Phase.RECEIVING)
 
--- a/packages/cassiastaird/cassiastaird/api/connections.py
+++ b/packages/cassiastaird/cassiastaird/api/connections.py
@@ -4,25 +4,26 @@
 for any time, and ends at an accept that fails for lack of descriptors.
 """
 
-from collections.abc import Callable
-
 import eventlet
+import orjson
 from cassiastair.clock import Clock
+from cassiastair.errors import MemoryFullError
 from eventlet.green import socket
 from loguru import logger
 
 from ..caller_sockets import CALLER_SOCKET_SHARE, bound_buffers, find_max_sockets
 from ..entry.entry_memory import EntryMemory
-from .connection import ApiConnection, Phase
+from .connection import ApiConnection
+from .phase import Phase
 from .protocol import ApiProtocol
 
 MAX_CALLER_CONNECTIONS = 10_000
 CHECK_INTERVAL_S = 0.5  # between checks for connections to time out
 SILENCE_S = 3.0  # without progress, after which one may be closed for others
 ACCEPT_RETRY_S = 0.05  # pause after a failed accept, for example out of descriptors
-MEMORY_FULL_REPLY = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+MEMORY_FULL_HEAD = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+    b"Content-Length: %d\r\nConnection: close\r\n\r\n"
 )
 
 
@@ -110,15 +111,13 @@
             return True
         return False
 
-    def _close_silent(self, needed: int, measure: Callable = lambda c: 1) -> bool:
+    def _close_silent(self, needed: int) -> bool:
         """Close connections that wait for their callers, the longest first.
 
         Parameters
         ----------
         needed : int
-            What the closed ones have to add up to.
-        measure : callable
-            Returns what a connection adds; by default 1.
+            Bytes that the closed ones have to have reserved; 1 to close a single one.
 
         Returns
         -------
@@ -135,7 +134,7 @@
         for connection in silent:
             if needed <= 0:
                 break
-            needed -= measure(connection)
+            needed -= connection.size
             connection.shut_down()
             connection.enter(Phase.WORKING)  # it ends, and is not closed again
         return bool(silent)
@@ -168,8 +167,10 @@
     def _refuse(self, sock) -> None:
         """Answer 503 to a caller for whom there is no memory; nothing was read."""
         self.refused_count += 1
+        error = MemoryFullError("the memory for connections is full")
+        body = orjson.dumps({"error": error.to_dict()})
         try:
-            sock.sendall(MEMORY_FULL_REPLY)
+            sock.sendall(MEMORY_FULL_HEAD % len(body) + body)
             sock.shutdown(socket.SHUT_WR)
         finally:
             sock.close()
@@ -188,7 +189,7 @@
                 connection.shut_down()
         needed = self._memory.take_shortage()
         if needed:
-            self._close_silent(needed, lambda connection: connection.size)
+            self._close_silent(needed)
         change = self._memory.check()
         if change is not None:
             logger.warning(
--- a/packages/cassiastaird/cassiastaird/api/connections_test.py
+++ b/packages/cassiastaird/cassiastaird/api/connections_test.py
@@ -16,8 +16,9 @@
 from . import connections as connections_module
 from . import protocol
 from .app import Api
-from .connection import BODY_COPIES, CONNECTION_BYTES, Phase
+from .connection import BODY_COPIES, CONNECTION_BYTES
 from .connections import SILENCE_S, ApiConnections
+from .phase import Phase
 from .protocol import MAX_HEAD_BYTES
 from .reply import ApiReply
 
@@ -175,7 +176,9 @@
 
     def test_a_connection_without_memory_is_refused(self):
         self.fill(self.memory.connections)
-        assert self.connect().recv(1000).startswith(b"HTTP/1.1 503")
+        reply = self.connect().recv(1000)
+        assert reply.startswith(b"HTTP/1.1 503")
+        assert b"memory_full" in reply
         assert self.connections.refused_count == 1
         assert self.connections.open_count == 0
 
--- a/packages/cassiastaird/cassiastaird/api/protocol.py
+++ b/packages/cassiastaird/cassiastaird/api/protocol.py
@@ -4,7 +4,8 @@
 from eventlet.green import socket
 from eventlet.wsgi import MAX_TOTAL_HEADER_SIZE, HttpProtocol
 
-from .connection import ApiConnection, Phase
+from .connection import ApiConnection
+from .phase import Phase
 
 PROTOCOL_KEY = "cassiastaird.protocol"
 CONNECTION_KEY = "cassiastaird.connection"
@@ -48,6 +49,7 @@
 
     def parse_request(self) -> bool:
         """Parse the head of a request; return False if it was refused."""
+        # The server's own bound is a constant of its module.
         self.rfile.total_header_size += MAX_TOTAL_HEADER_SIZE - MAX_HEAD_BYTES
         return super().parse_request()
 
