Reserve the memory of a connection when it is accepted

The process accepts all connections that wait, up to 1,024, before any of their tasks runs, and the tasks reserved the memory.

Change: the memory is reserved when a connection is accepted, in both daemons; refused callers are counted there. The own interface refuses such a connection without a task.

The unit test, now with all callers waiting to be accepted at once and an exact count, fails on the code before (0 of 30 were turned away). The tests that build a connection by hand open it first.

--- a/packages/cassiastaird/cassiastaird/api/connections.py
+++ b/packages/cassiastaird/cassiastaird/api/connections.py
@@ -66,6 +66,7 @@
         self._idle_s = idle_s
         self._transfer_s = transfer_s
         self._connections: set[ApiConnection] = set()
+        self._accepted: dict[object, ApiConnection] = {}  # by socket, not yet served
         self._socket_count = 0
         self.refused_count = 0
         bound_buffers(listener)
@@ -95,10 +96,16 @@
                 eventlet.sleep(ACCEPT_RETRY_S)
                 continue
             if self._make_room():
-                self._socket_count += 1
-                return sock, address
-            self.refused_count += 1
-            sock.close()
+                # Many may be accepted before the first of their tasks runs.
+                connection = ApiConnection(sock, self._memory, self._clock)
+                if connection.open():
+                    self._socket_count += 1
+                    self._accepted[sock] = connection
+                    return sock, address
+                self._refuse(sock)
+            else:
+                self.refused_count += 1
+                sock.close()
             eventlet.sleep(0)  # many may wait to be accepted
 
     def _make_room(self) -> bool:
@@ -149,13 +156,9 @@
         server : eventlet.wsgi.Server
             The WSGI server.
         """
-        sock = conn_state[1]
-        connection = ApiConnection(sock, self._memory, self._clock)
+        connection = self._accepted.pop(conn_state[1])
+        self._connections.add(connection)
         try:
-            if not connection.open():
-                self._refuse(sock)
-                return
-            self._connections.add(connection)
             ApiProtocol(conn_state, server, connection)
         except OSError as error:
             logger.debug("connection broke", reason=repr(error))
@@ -172,6 +175,8 @@
         try:
             sock.sendall(MEMORY_FULL_HEAD % len(body) + body)
             sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            logger.debug("connection broke", reason=repr(error))
         finally:
             sock.close()
 
--- a/packages/cassiastaird/cassiastaird/entry/caller_connection.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_connection.py
@@ -95,10 +95,14 @@
         """Whether no request is being read or served."""
         return self._serving_task is None and not self._reader.partial
 
+    def open(self) -> bool:
+        """Reserve the memory of the connection; if that fails, `run` refuses it."""
+        return self._memory.open()
+
     def run(self) -> None:
         """Read requests and have them served until the connection ends."""
         try:
-            if not self._memory.open():
+            if not self._memory.is_open:
                 self._refuse(self._handler.memory.connections.refuse(CONNECTION_BYTES))
             while not self._closing and self._read_part():
                 pass
--- a/packages/cassiastaird/cassiastaird/entry/caller_server.py
+++ b/packages/cassiastaird/cassiastaird/entry/caller_server.py
@@ -12,7 +12,6 @@
 from ..caller_sockets import bound_buffers
 from ..drain import Drain
 from .caller_connection import CallerConnection
-from .connection_memory import CONNECTION_BYTES
 from .entry_memory import EntryMemory
 from .handler import RequestHandler
 from .http_codec import HttpCodec
@@ -84,6 +83,7 @@
         self.turns = ParsingTurns()
         self._connections: set[CallerConnection] = set()
         self._socket_count = 0
+        self._refused_open_count = 0
         self._no_room_until = float("-inf")
         self._max_connections = max_connections
         self.refused_connections = 0
@@ -132,18 +132,28 @@
             If the caller has closed the connection.
         """
         if not self._make_room():
-            self.refused_connections += 1
-            sock.close()
-            eventlet.sleep(0)  # many may wait to be accepted
+            self._close_at_once(sock)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self)
+        # Many may be accepted before the first of their tasks runs.
+        is_refused = not connection.open()
+        if is_refused and self._refused_open_count >= MAX_REFUSED_OPEN:
+            self._close_at_once(sock)
+            return
         self._connections.add(connection)
+        eventlet.spawn_n(self._run_connection, connection, is_refused)
         self._socket_count += 1
-        eventlet.spawn_n(self._run_connection, connection)
+        self._refused_open_count += is_refused
+
+    def _close_at_once(self, sock) -> None:
+        """Close a connection for which there is no room; nothing of it was read."""
+        self.refused_connections += 1
+        sock.close()
+        eventlet.sleep(0)  # many may wait to be accepted
 
-    def _run_connection(self, connection: CallerConnection) -> None:
-        """Serve a connection; its socket counts until it is closed.
+    def _run_connection(self, connection: CallerConnection, is_refused: bool) -> None:
+        """Serve or refuse a connection; its socket counts until it is closed.
 
         A refused caller gets some time to read the answer, for which its connection
         counts as closed already.
@@ -152,13 +162,10 @@
             connection.run()
         finally:
             self._socket_count -= 1
+            self._refused_open_count -= is_refused
 
     def _make_room(self) -> bool:
         """Return True if one more connection fits, if need be after a close."""
-        refused_count = self._socket_count - len(self._connections)
-        if refused_count >= MAX_REFUSED_OPEN:
-            if self.memory.connections.available < CONNECTION_BYTES:
-                return False  # it would be refused too, and wait to be closed
         if self._socket_count < self._max_connections:
             return True
         now = self.clock.now()
--- a/packages/cassiastaird/cassiastaird/entry/connection_memory.py
+++ b/packages/cassiastaird/cassiastaird/entry/connection_memory.py
@@ -34,13 +34,18 @@
     ----------
     memory : EntryMemory
         Account to reserve from.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether what the connection itself takes is reserved.
     """
 
-    __slots__ = ("_memory", "_is_open", "_arriving", "_complete")
+    __slots__ = ("_memory", "is_open", "_arriving", "_complete")
 
     def __init__(self, memory: EntryMemory):
         self._memory = memory
-        self._is_open = False
+        self.is_open = False
         self._arriving: Reservation | None = None
         self._complete: deque[Reservation | None] = deque()
 
@@ -48,13 +53,13 @@
     def size(self) -> int:
         """Bytes that are reserved."""
         parts = [*self._complete, self._arriving]
-        own = CONNECTION_BYTES if self._is_open else 0
+        own = CONNECTION_BYTES if self.is_open else 0
         return own + sum(part[1] for part in parts if part is not None)
 
     def open(self) -> bool:
         """Reserve what the connection itself takes; return False if that fails."""
-        self._is_open = self._memory.connections.try_reserve(CONNECTION_BYTES)
-        return self._is_open
+        self.is_open = self._memory.connections.try_reserve(CONNECTION_BYTES)
+        return self.is_open
 
     def reserve_arriving(
         self, reader: RequestReader, limits: CallerLimits, check: Callable[[], None]
@@ -149,8 +154,8 @@
         self._release_arriving()
         while self._complete:
             self.release_first()
-        if self._is_open:
-            self._is_open = False
+        if self.is_open:
+            self.is_open = False
             self._memory.connections.release(CONNECTION_BYTES)
 
 
--- a/packages/cassiastaird/cassiastaird/entry/entry_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_test.py
@@ -350,6 +350,7 @@
         self.caller.settimeout(5.0)
         self.fd = sock.fileno()
         self.connection = CallerConnection(sock, self.handler)
+        self.connection.open()
         self.task = eventlet.spawn(self.connection.run)
         self.addCleanup(self.caller.close)
 
@@ -741,15 +742,15 @@
 
     def test_few_refused_callers_get_time_while_memory_is_full(self):
         self.server = EchoServer(max_connections=1000)
-        listener = self.listener = eventlet.listen(("127.0.0.1", 0))
-        task = eventlet.spawn(self.server.run, listener)
-        self.addCleanup(task.kill)
+        self.listener = listen("127.0.0.1", 0)
         connections = self.server.memory.connections
         assert connections.try_reserve(connections.available)
+        # All wait to be accepted at once.
         callers = [self.connect(b"") for _ in range(MAX_REFUSED_OPEN + 30)]
+        task = eventlet.spawn(self.server.run, self.listener)
+        self.addCleanup(task.kill)
         eventlet.sleep(0.05)
-        # A refused connection counts as open for a few passes of the event loop.
-        assert 20 <= self.server.refused_connections <= 30
+        assert self.server.refused_connections == 30
         assert all(caller.fileno() >= 0 for caller in callers)
 
 
--- a/packages/cassiastaird/cassiastaird/entry/reading_turns_test.py
+++ b/packages/cassiastaird/cassiastaird/entry/reading_turns_test.py
@@ -45,6 +45,7 @@
         self.callers.append(caller)
         self.addCleanup(caller.close)
         connection = CallerConnection(sock, self.handler)
+        connection.open()
         task = eventlet.spawn(connection.run)
         self.addCleanup(task.kill)
         return caller
@@ -79,6 +80,7 @@
         sock, caller = socket.socketpair()
         self.addCleanup(caller.close)
         connection = CallerConnection(sock, self.handler)
+        connection.open()
         task = eventlet.spawn(connection.run)
         self.addCleanup(task.kill)
         caller.sendall(CHUNKED + b"1\r\na\r\n" * 1000)
