Log and count the eras that the store names and answers behind a VM

New: log lines `store era` and `store behind`, gauges store_era and store_history_gone.

No decision uses eras yet.

--- a/packages/cassiastair/cassiastair/replication/client.py
+++ b/packages/cassiastair/cassiastair/replication/client.py
@@ -24,10 +24,14 @@
         All items, or the changes after a revision.
     revision : int
         Revision up to which the answer is complete.
+    era : int
+        Number of times that the store has come back from an older copy of itself,
+        which takes its revisions back; 0 if it does not say.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
+    era: int = 0
 
 
 class StoreClient(ABC):
--- a/packages/cassiastair/cassiastair/replication/reader.py
+++ b/packages/cassiastair/cassiastair/replication/reader.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ..membership import Freshness, ReaderSelection, StoreContact
-from .client import HistoryGone, StoreClient, StoreReadError
+from .client import HistoryGone, StoreClient, StorePage, StoreReadError
 from .replica import StoreReplica
 
 # Longest wait of a watch, as a share of the delay allowed for changes. Below 1, so
@@ -55,6 +55,10 @@
         Whether the last call failed.
     store_available : bool
         Whether the last call succeeded; False before the first one.
+    era : int
+        Era that the store's last answer named.
+    history_gone_count : int
+        Number of watches that the store refused because it lacks the history.
     """
 
     def __init__(
@@ -84,6 +88,9 @@
         self._backoff = MIN_BACKOFF_S
         self.failing = False
         self.store_available = False
+        self.era = 0
+        self.history_gone_count = 0
+        self._is_behind = False
 
     def run(self, wait_for_peers: bool = False) -> None:
         """Read for as long as the process runs.
@@ -113,6 +120,7 @@
         try:
             changes = self._watch() if before >= 0 else self._read_all()
         except HistoryGone:
+            self.history_gone_count += 1
             self._log_event("history gone", revision=before)
             return self._reload()
         except StoreReadError as failure:
@@ -127,14 +135,33 @@
         """Wait for changes and merge them; return the changed items."""
         page = self._client.watch(self._replica.revision, self._watch_wait)
         self._contact.record(0.0)
+        self._compare_positions(page)
         return self._replica.merge(page.items, page.revision)
 
     def _read_all(self) -> list:
         """Read and merge all items; return the changed ones."""
         page = self._client.read_all()
         self._contact.record(0.0)
+        self._compare_positions(page)
         return self._replica.replace(page.items, page.revision)
 
+    def _compare_positions(self, page: StorePage) -> None:
+        """Log an answer of another era, and the first that is behind the replica."""
+        known = self._replica.revision
+        if page.era != self.era:
+            self._log_event(
+                "store era",
+                before=self.era,
+                era=page.era,
+                revision=page.revision,
+                known=known,
+            )
+            self.era = page.era
+        is_behind = page.revision < known
+        if is_behind and not self._is_behind:
+            self._log_event("store behind", revision=page.revision, known=known)
+        self._is_behind = is_behind
+
     def _reload(self) -> bool:
         """Read all items, since the store dropped the changes that are missing."""
         before = self._replica.revision
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -338,6 +338,12 @@
         add("news_revision", "Known completely.", lambda: self.replica.revision)
         add("news_age_seconds", "Age of the store's word.", self._read_store_age)
         add("store_calls", "Calls of the store.", lambda: self.store.calls)
+        add("store_era", "Last named by the store.", lambda: self.reader.era)
+        add(
+            "store_history_gone",
+            "Watches refused.",
+            lambda: self.reader.history_gone_count,
+        )
         add(
             "store_reading",
             "Whether this VM reads.",
