--- a/standins/world/back_end.py
+++ b/standins/world/back_end.py
@@ -219,6 +219,8 @@
         Time at which it registered as draining or deregistered.
     is_stopped : bool
         True after `stop`.
+    state : str
+        State of its item in the store; empty if it has none.
     """
 
     def __init__(
@@ -243,6 +245,7 @@
         self.health_checks = 0
         self.draining_since: float | None = None
         self.is_stopped = False
+        self.state = ""
         self._acceptor = eventlet.spawn(self._accept)
 
     def register(self, state: str = "ready") -> None:
@@ -259,8 +262,9 @@
             "sequence": 1,
             "born": 1,
         }
-        if state == "draining":
+        if state == "draining" and self.state != state:
             self.draining_since = self._clock()
+        self.state = state
         self._store.put(f"servers/{spec.name}", entry)
 
     def advertise(self, address: tuple[str, int]) -> None:
@@ -271,8 +275,14 @@
     def deregister(self) -> None:
         """Remove the back end's item from the store without draining first."""
         self.draining_since = self._clock()
+        self.state = ""
         self._store.remove(f"servers/{self.spec.name}")
 
+    def register_again(self) -> None:
+        """Write its item again, as its next heartbeat does."""
+        if self.state and not self.is_stopped:
+            self.register(self.state)
+
     def stop(self) -> None:
         """Close all sockets at once, as a crash does; the item stays in the store."""
         self.is_stopped = True
--- a/standins/world/store.py
+++ b/standins/world/store.py
@@ -27,6 +27,26 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """State of a store at one time.
+
+    Parameters
+    ----------
+    items : dict of str to Change
+        Latest change of each existing key.
+    history : tuple of Change
+        Changes since the last compaction, oldest first.
+    revision, compacted_revision : int
+        Revisions of the latest change and of the last compaction.
+    """
+
+    items: dict[str, Change]
+    history: tuple[Change, ...]
+    revision: int
+    compacted_revision: int
+
+
 class Store:
     """Serves the store's HTTP interface on a free port.
 
@@ -53,6 +73,8 @@
         Delay before each answer, in seconds.
     call_count : int
         Number of calls received.
+    era : int
+        Number of returns from a copy, which all answers name.
     """
 
     def __init__(self, host: str = "127.0.0.1"):
@@ -65,6 +87,7 @@
         self.faults: dict[str, str] = {}
         self.delay_s = 0.0
         self.call_count = 0
+        self.era = 0
         self._change_event = Event()
         self._acceptor = eventlet.spawn(self._accept)
         self._sockets: set = set()
@@ -73,6 +96,10 @@
         """Stop listening and shut all connections down."""
         self._acceptor.kill()
         self._listener.close()
+        self._close_connections()
+
+    def _close_connections(self) -> None:
+        """Shut all connections down."""
         for sock in list(self._sockets):
             try:
                 sock.shutdown(socket.SHUT_RDWR)  # its green thread closes it
@@ -101,6 +128,24 @@
         event.send(None)
         return self.revision
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy for `restore`."""
+        return StoreCopy(
+            dict(self.items),
+            tuple(self.history),
+            self.revision,
+            self.compacted_revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy, in the next era; all connections are cut."""
+        self._close_connections()
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        self.compacted_revision = copy.compacted_revision
+        self.era += 1
+
     def compact(self) -> None:
         """Drop the history, so that watches after an older revision get status 410."""
         self.compacted_revision = self.revision
@@ -152,17 +197,27 @@
     def _encode_refusal(self, fault: str) -> bytes:
         """Return the response of the faults that refuse a call."""
         status = "429 Too Many Requests" if fault == "many" else "503 Busy"
-        return encode_message(f"HTTP/1.1 {status}", {})
+        return self._encode_answer(status, {})
 
     def _handle_call(self, call) -> bytes:
         """Return the response to a call."""
         url = urlsplit(call.start_line[1])
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/-/kv-range":
-            return encode_json_answer(self._read_range(query))
+            return self._encode_json_answer(self._read_range(query))
         if url.path == "/-/kv-watch":
             return self._watch(query)
-        return encode_message("HTTP/1.1 404 Not Found", {})
+        return self._encode_answer("404 Not Found", {})
+
+    def _encode_answer(self, status: str, headers: dict, body: bytes = b"") -> bytes:
+        """Return a response, which names the era."""
+        headers = headers | {"Store-Era": self.era}
+        return encode_message(f"HTTP/1.1 {status}", headers, body)
+
+    def _encode_json_answer(self, document: dict) -> bytes:
+        """Return a response with status 200 and a JSON body."""
+        headers = {"Content-Type": "application/json"}
+        return self._encode_answer("200 OK", headers, orjson.dumps(document))
 
     def _read_range(self, query: dict) -> dict:
         """Return a page of the items with a prefix, in the order of their keys."""
@@ -176,18 +231,18 @@
     def _watch(self, query: dict) -> bytes:
         """Wait for changes after a revision and return the response with them."""
         after = int(query["after"])
-        if after < self.compacted_revision:
-            return encode_message("HTTP/1.1 410 Gone", {})
+        if not self.compacted_revision <= after <= self.revision:
+            return self._encode_answer("410 Gone", {})
         prefix = query.get("prefix", "")
         with eventlet.Timeout(int(query["waitMs"]) / 1000, False):
             while not self._find_changes(after, prefix):
                 self._change_event.wait()
         if after < self.compacted_revision:
-            return encode_message("HTTP/1.1 410 Gone", {})
+            return self._encode_answer("410 Gone", {})
         events = [
             make_wire_item(change) for change in self._find_changes(after, prefix)
         ]
-        return encode_json_answer({"events": events, "at": self.revision})
+        return self._encode_json_answer({"events": events, "at": self.revision})
 
     def _find_changes(self, after: int, prefix: str) -> list[Change]:
         """Return the changes after a revision of keys with a prefix."""
@@ -210,9 +265,3 @@
         "createdAt": change.revision,
         "leaseId": 0,
     }
-
-
-def encode_json_answer(document: dict) -> bytes:
-    """Return a response with status 200 and a JSON body."""
-    headers = {"Content-Type": "application/json"}
-    return encode_message("HTTP/1.1 200 OK", headers, orjson.dumps(document))
