Order states of the store by era, then by revision

What callers saw: configurations that the store had acknowledged were not in force, and requests reached targets that had said they leave, until the store's revisions had passed those of before, or for good.

Cause: revisions were taken for one order of all states. A store that comes back from an older copy gives them out again, so that writes under revisions known before were ignored, full reads included, and a watch from the old position returned only what came later.

Change: StorePosition, era then revision, as one number in items, replicas and messages between VMs. A state of a later era replaces the replica as a whole, also where a watch answers 200; an answer of an earlier era changes nothing. Peers behind by an era get a copy of all items. The era 0 and the messages are as before, so releases without eras keep their order and their links; they take a later era as higher revisions.

--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -217,7 +217,8 @@
     Parameters
     ----------
     revision : int
-        Revision up to which the sender's replica is complete; -1 if it is empty.
+        Position of the store up to which the sender's replica is complete, as a number;
+        -1 if it is empty.
     age : float
         Seconds since the store confirmed the replica; -1 for never.
     readers : list
@@ -237,13 +238,14 @@
     Parameters
     ----------
     after : int
-        Revision after which the changes begin; -1 for a copy of all items.
+        Position of the store after which the changes begin, as a number; -1 for a copy
+        of all items.
     revision : int
-        Revision up to which the changes are complete.
+        Position up to which the changes are complete.
     age : float
         Seconds since the store confirmed the sender's replica; -1 for never.
     items : list
-        Key, revision and value of each item; a removed key has None as its value.
+        Key, position and value of each item; a removed key has None as its value.
     """
 
     after: int
@@ -254,12 +256,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NewsWant:
-    """Request for all changes of the store after a revision.
+    """Request for all changes of the store after a position.
 
     Parameters
     ----------
     after : int
-        Revision up to which the sender's replica is complete; -1 if it is empty.
+        Position, as a number, up to which the sender's replica is complete; -1 if it is
+        empty.
     """
 
     after: int
--- a/packages/cassiastair/cassiastair/replication/__init__.py
+++ b/packages/cassiastair/cassiastair/replication/__init__.py
@@ -7,6 +7,7 @@
 from .client import HistoryGone, StoreClient, StorePage, StoreReadError
 from .item import StoreItem
 from .node import ReplicationNode
+from .position import StorePosition
 from .reader import StoreReader
 from .replica import StoreReplica
 
@@ -16,6 +17,7 @@
     "StoreClient",
     "StoreItem",
     "StorePage",
+    "StorePosition",
     "StoreReadError",
     "StoreReader",
     "StoreReplica",
--- a/packages/cassiastair/cassiastair/replication/client.py
+++ b/packages/cassiastair/cassiastair/replication/client.py
@@ -21,7 +21,7 @@
     Parameters
     ----------
     items : tuple of StoreItem
-        All items, or the changes after a revision.
+        All items, or the changes after a revision, with the store's own revisions.
     revision : int
         Revision up to which the answer is complete.
     era : int
--- a/packages/cassiastair/cassiastair/replication/item.py
+++ b/packages/cassiastair/cassiastair/replication/item.py
@@ -12,7 +12,8 @@
     key : str
         Key in the store.
     revision : int
-        Revision of the store at which the key last changed.
+        Revision of the store at which the key last changed; in a replica, the number of
+        a `StorePosition`.
     value : bytes or None
         Value, or None if the key was removed.
     """
--- a/packages/cassiastair/cassiastair/replication/node.py
+++ b/packages/cassiastair/cassiastair/replication/node.py
@@ -3,8 +3,10 @@
 Each data centre has readers of its own, so changes are pushed on links inside the
 data centre only. Each VM forwards once the changes that were new to it. Heartbeats on
 all links carry revisions; a VM that is behind a peer requests the changes after its
-own revision. Since the store numbers its changes in one order, comparing revisions is
-enough and contents need not be compared.
+own revision. Since positions of the store order all of its states, comparing them is
+enough and contents need not be compared. A revision in a message is the number of a
+`StorePosition`: releases that know no eras order states by these numbers as well. A VM
+that is behind by an era gets a copy of all items.
 """
 
 from collections.abc import Callable
--- a/packages/cassiastair/cassiastair/replication/reader.py
+++ b/packages/cassiastair/cassiastair/replication/reader.py
@@ -5,6 +5,7 @@
 
 from ..membership import Freshness, ReaderSelection, StoreContact
 from .client import HistoryGone, StoreClient, StorePage, StoreReadError
+from .position import StorePosition
 from .replica import StoreReplica
 
 # Longest wait of a watch, as a share of the delay allowed for changes. Below 1, so
@@ -19,11 +20,15 @@
 MAX_BACKOFF_S = 0.8  # up to 1.2 s with jitter; a recovered store is read soon
 
 
+class EraEnded(StoreReadError):
+    """Raised when the store is in a later era than the replica."""
+
+
 class StoreReader:
     """Reads all items once, then watches the store for changes.
 
-    When the store no longer keeps the changes after the replica's revision, all items
-    are read again.
+    When the store no longer keeps the changes after the replica's revision, or is in a
+    later era, all items are read again. Answers of an earlier era change nothing.
 
     Parameters
     ----------
@@ -121,7 +126,9 @@
             changes = self._watch() if before >= 0 else self._read_all()
         except HistoryGone:
             self.history_gone_count += 1
-            self._log_event("history gone", revision=before)
+            self._log_event("history gone", **self._replica.position.describe())
+            return self._reload()
+        except EraEnded:
             return self._reload()
         except StoreReadError as failure:
             self._back_off(failure)
@@ -132,38 +139,62 @@
         return True
 
     def _watch(self) -> list:
-        """Wait for changes and merge them; return the changed items."""
-        page = self._client.watch(self._replica.revision, self._watch_wait)
-        self._contact.record(0.0)
-        self._compare_positions(page)
-        return self._replica.merge(page.items, page.revision)
+        """Wait for changes and merge them; return the changed items.
+
+        Raises
+        ------
+        EraEnded
+            If the changes are of a later era, so that earlier ones may be missing.
+        """
+        before = self._replica.position
+        page = self._client.watch(before.revision, self._watch_wait)
+        position = self._record_answer(page)
+        # A peer may have brought a later era while the store was waiting.
+        if self._replica.position.era > before.era:
+            return []
+        if position.era > before.era:
+            raise EraEnded("the store has come back from an older copy")
+        return self._replica.merge(position.place(page.items), position.to_number())
 
     def _read_all(self) -> list:
         """Read and merge all items; return the changed ones."""
         page = self._client.read_all()
-        self._contact.record(0.0)
-        self._compare_positions(page)
-        return self._replica.replace(page.items, page.revision)
+        position = self._record_answer(page)
+        return self._replica.replace(position.place(page.items), position.to_number())
+
+    def _record_answer(self, page: StorePage) -> StorePosition:
+        """Record that the store answered, and return the position of the answer.
 
-    def _compare_positions(self, page: StorePage) -> None:
-        """Log an answer of another era, and the first that is behind the replica."""
-        known = self._replica.revision
+        Raises
+        ------
+        StoreReadError
+            If the answer is of an earlier era than the replica.
+        """
+        self._contact.record(0.0)
+        position = StorePosition(page.era, page.revision)
         if page.era != self.era:
             self._log_event(
                 "store era",
-                before=self.era,
-                era=page.era,
-                revision=page.revision,
-                known=known,
+                answer_era=page.era,
+                answer_revision=page.revision,
+                **self._replica.position.describe(),
             )
             self.era = page.era
-        is_behind = page.revision < known
+        is_behind = position.to_number() < self._replica.revision
         if is_behind and not self._is_behind:
-            self._log_event("store behind", revision=page.revision, known=known)
+            self._log_event(
+                "store behind",
+                answer_era=page.era,
+                answer_revision=page.revision,
+                **self._replica.position.describe(),
+            )
         self._is_behind = is_behind
+        if position.era < self._replica.position.era:
+            raise StoreReadError(f"the answer is of the earlier era {position.era}")
+        return position
 
     def _reload(self) -> bool:
-        """Read all items, since the store dropped the changes that are missing."""
+        """Read all items, since changes are missing."""
         before = self._replica.revision
         try:
             changes = self._read_all()
@@ -176,7 +207,7 @@
     def _record_success(self, before: int, changes: list) -> None:
         """Record that the store answered and publish the changes."""
         if self.failing:
-            self._log_event("platform regained", revision=self._replica.revision)
+            self._log_event("platform regained", **self._replica.position.describe())
         self.failing = False
         self.store_available = True
         self._backoff = MIN_BACKOFF_S
@@ -188,7 +219,9 @@
         """Record a failed call and wait before the next one."""
         if not self.failing:
             self._log_event(
-                "platform lost", revision=self._replica.revision, reason=str(failure)
+                "platform lost",
+                **self._replica.position.describe(),
+                reason=str(failure),
             )
         self.failing = True
         self.store_available = False
--- a/packages/cassiastair/cassiastair/replication/replica.py
+++ b/packages/cassiastair/cassiastair/replication/replica.py
@@ -1,8 +1,12 @@
 """Copy of the platform's store that each VM holds."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 
 from .item import StoreItem
+from .position import StorePosition
+
+ItemsByKey = Mapping[str, StoreItem]
 
 MAX_TOMBSTONES = 20_000  # about 3 MB; peers that are behind need them
 
@@ -10,11 +14,13 @@
 class StoreReplica:
     """Latest known item of each key, complete up to one revision.
 
-    The store numbers all of its changes in one order. A single revision therefore
-    describes how far a replica is, and a replica that is behind lacks exactly the
-    changes after its own revision. Merging keeps the item with the highest revision
+    Within an era, the store numbers all of its changes in one order. A single revision
+    therefore describes how far a replica is, and a replica that is behind lacks exactly
+    the changes after its own revision. Merging keeps the item with the highest revision
     of each key, so repeated or reordered changes lead to the same state and no key
-    reverts.
+    reverts. The state of a later era replaces that of an earlier one as a whole.
+
+    All revisions here are those of `StorePosition.to_number`, which include the era.
 
     A removed key remains as a tombstone, an item without a value, until there are
     too many tombstones.
@@ -23,6 +29,10 @@
     ----------
     on_change : callable
         Called with the list of changed items after each merge that changed any.
+    on_restore : callable, optional
+        Called when the state of a later era has replaced that of an earlier one, with
+        the items of both, tombstones included, by key. If None, `on_change` is called
+        with the items of the later era and with tombstones for the others.
 
     Attributes
     ----------
@@ -34,8 +44,13 @@
         peer that is behind this revision needs a copy of all items.
     """
 
-    def __init__(self, on_change: Callable[[list[StoreItem]], None]):
+    def __init__(
+        self,
+        on_change: Callable[[list[StoreItem]], None],
+        on_restore: Callable[[ItemsByKey, ItemsByKey], None] | None = None,
+    ):
         self._on_change = on_change
+        self._on_restore = on_restore or self._report_all
         self._items: dict[str, StoreItem] = {}
         self._tombstone_count = 0
         self.revision = -1
@@ -45,6 +60,11 @@
         """Return the number of keys without the removed ones."""
         return len(self._items) - self._tombstone_count
 
+    @property
+    def position(self) -> StorePosition:
+        """Position up to which the replica is complete."""
+        return StorePosition.from_number(self.revision)
+
     def merge(self, items: Iterable[StoreItem], revision: int) -> list[StoreItem]:
         """Merge all changes up to a revision.
 
@@ -75,7 +95,7 @@
         of the removal is unknown. Keys that were both written and removed since the
         replica's own revision have no tombstone, although a peer may hold them;
         `removed_floor` therefore rises to the revision of the read. A read that is
-        older than the replica is ignored.
+        older than the replica is ignored. One of a later era replaces all items.
 
         Parameters
         ----------
@@ -92,6 +112,10 @@
         if revision < self.revision:
             return []  # an older read contains nothing new
         found = list(items)
+        era = StorePosition.from_number(revision).era
+        if 0 <= self.position.era < era:
+            self._restore(found, revision)
+            return found
         present = {item.key for item in found}
         removed = [
             StoreItem(key, revision, None)
@@ -105,6 +129,24 @@
             self.removed_floor = max(self.removed_floor, revision)
         return self.merge(changed, revision)
 
+    def _restore(self, items: list[StoreItem], revision: int) -> None:
+        """Replace all items by those of a later era."""
+        before = self._items
+        self._items = {item.key: item for item in items}
+        self._tombstone_count = sum(item.value is None for item in items)
+        self.revision = revision
+        self.removed_floor = revision
+        self._on_restore(before, self._items)
+
+    def _report_all(self, before: ItemsByKey, after: ItemsByKey) -> None:
+        """Report the items of a later era, and the removal of those that it lacks."""
+        removed = [
+            replace(item, revision=self.revision, value=None)
+            for key, item in before.items()
+            if key not in after and item.value is not None
+        ]
+        self._on_change([*after.values(), *removed])
+
     def _put(self, item: StoreItem) -> bool:
         """Store an item; return True if it is newer than the known one."""
         known = self._items.get(item.key)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -335,7 +335,9 @@
         )
         add = page.add_gauge
         add("configuration_version", "In force.", lambda: self.table.version)
-        add("news_revision", "Known completely.", lambda: self.replica.revision)
+        replica = self.replica
+        add("news_era", "Known completely.", lambda: replica.position.era)
+        add("news_revision", "In that era.", lambda: replica.position.revision)
         add("news_age_seconds", "Age of the store's word.", self._read_store_age)
         add("store_calls", "Calls of the store.", lambda: self.store.calls)
         add("store_era", "Last named by the store.", lambda: self.reader.era)
--- a/packages/cassiastaird/cassiastaird/entry/store_change_applier.py
+++ b/packages/cassiastaird/cassiastaird/entry/store_change_applier.py
@@ -2,7 +2,7 @@
 
 from cassiastair.errors import MalformedRequestError
 from cassiastair.forwarding import DecisionLog, RoutedTargetRegistry
-from cassiastair.replication import StoreItem
+from cassiastair.replication import StoreItem, StorePosition
 from cassiastair.routing import RoutingTable
 
 from .item_decoder import ItemDecoder
@@ -73,7 +73,7 @@
                 "configuration in force",
                 "",
                 version=configuration.version,
-                revision=item.revision,
+                **describe_position(item),
                 routes=len(configuration.routes),
             )
 
@@ -82,7 +82,7 @@
         if item.value is None:
             if self._registry.find(name) is not None:
                 self._decisions.warn(
-                    "target gone", "", target=name, revision=item.revision
+                    "target gone", "", target=name, **describe_position(item)
                 )
             self._registry.remove(name)
             return
@@ -94,7 +94,7 @@
             return
         if target.draining and self._registry.find(name) is not None:
             self._decisions.warn(
-                "target draining", "", target=name, revision=item.revision
+                "target draining", "", target=name, **describe_position(item)
             )
         self._registry.update(target)
 
@@ -107,6 +107,11 @@
             "item refused",
             "",
             key=item.key[:80],
-            revision=item.revision,
+            **describe_position(item),
             reason=error.message[:200],
         )
+
+
+def describe_position(item: StoreItem) -> dict[str, int]:
+    """Return the position of an item's last change as fields of a log line."""
+    return StorePosition.from_number(item.revision).describe()
--- a/packages/cassiastaird/cassiastaird/peers/codec_test.py
+++ b/packages/cassiastaird/cassiastaird/peers/codec_test.py
@@ -22,6 +22,8 @@
     messages.LeavingList(3, ["t"]),
     messages.Members([VM, VM]),
     messages.Bye(),
+    messages.NewsBeat(2**63 + 7, 0.5, []),
+    messages.NewsChanges(2**64 + 7, 2**64 + 9, 0.5, [["k", 2**64 + 9, None]]),
     messages.Call(1, b"{}", 0.5, ""),
     messages.Reply(1, 200, {"outcome": "done"}),
     messages.NewsBeat(7, 0.5, [["vm1", 0.5]]),
