Wait before the full read that follows a refused watch

Cause: the full read after a lost history followed at once, and its success ended the backoff. Now every call that follows one without use waits by the same backoff, and only a watch that succeeds ends it.

--- a/packages/cassiastair/cassiastair/replication/reader.py
+++ b/packages/cassiastair/cassiastair/replication/reader.py
@@ -134,6 +134,8 @@
             self._back_off(failure)
             return False
         self._record_success(before, changes)
+        if before >= 0:
+            self._backoff = MIN_BACKOFF_S
         if changes:
             self._sleep(self._batch_pause)
         return True
@@ -194,7 +196,8 @@
         return position
 
     def _reload(self) -> bool:
-        """Read all items, since changes are missing."""
+        """Read all items after a pause, since changes are missing."""
+        self._wait_before_retry()
         before = self._replica.revision
         try:
             changes = self._read_all()
@@ -210,7 +213,6 @@
             self._log_event("platform regained", **self._replica.position.describe())
         self.failing = False
         self.store_available = True
-        self._backoff = MIN_BACKOFF_S
         self._freshness.record(0.0)
         if changes:
             self._publish(before, changes)
@@ -226,5 +228,13 @@
         self.failing = True
         self.store_available = False
         self._contact.record_failure()
+        self._wait_before_retry()
+
+    def _wait_before_retry(self) -> None:
+        """Wait before a call that follows one that brought nothing.
+
+        Only a watch that succeeds shortens the next wait: a store that refuses all
+        watches and serves full reads is not read in a loop.
+        """
         self._sleep(self._backoff * (0.5 + self._rng.random()))
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
