Keep in force what VMs knew before the store came back from an older copy

What callers would see without: with the states of a later era taken whole, targets that had drained or ended get requests again as soon as the copy shows them, targets that started since get none until their next heartbeat, and a VM that starts meanwhile serves the configuration of the copy.

Change: UnconfirmedItems decides what is in force, apart from the replica, which is the store's state. What the copy lacks serves on for 2.5 s; what it shows in an older state by content (ItemPrecedence: version of a configuration, life of a target) stays as known until it is written again or a silent record would have lapsed (three heartbeats and 1 s). A configuration stays until a later one is written. Kept items are sent to new peers in a message that releases without eras ignore.

Evidence: the tests of TestItemsInForce, TestPeersWithKeptItems and TestRestoredItems.

--- a/packages/cassiastair/cassiastair/peers/messages.py
+++ b/packages/cassiastair/cassiastair/peers/messages.py
@@ -241,7 +241,8 @@
         Position of the store after which the changes begin, as a number; -1 for a copy
         of all items.
     revision : int
-        Position up to which the changes are complete.
+        Position up to which the changes are complete; -1 for items that the sender
+        keeps from before the store came back from an older copy.
     age : float
         Seconds since the store confirmed the sender's replica; -1 for never.
     items : list
--- a/packages/cassiastair/cassiastair/replication/__init__.py
+++ b/packages/cassiastair/cassiastair/replication/__init__.py
@@ -6,13 +6,16 @@
 
 from .client import HistoryGone, StoreClient, StorePage, StoreReadError
 from .item import StoreItem
+from .item_precedence import ItemPrecedence
 from .node import ReplicationNode
 from .position import StorePosition
 from .reader import StoreReader
 from .replica import StoreReplica
+from .unconfirmed_items import UnconfirmedItems
 
 __all__ = [
     "HistoryGone",
+    "ItemPrecedence",
     "ReplicationNode",
     "StoreClient",
     "StoreItem",
@@ -21,4 +24,5 @@
     "StoreReadError",
     "StoreReader",
     "StoreReplica",
+    "UnconfirmedItems",
 ]
--- a/packages/cassiastair/cassiastair/replication/node.py
+++ b/packages/cassiastair/cassiastair/replication/node.py
@@ -28,7 +28,11 @@
 )
 from .item import StoreItem
 from .replica import StoreReplica
+from .unconfirmed_items import UnconfirmedItems
 
+# Revision of a message with items that the sender keeps although the store lacks them.
+# Releases that do not know such messages ignore it, since they are never behind it.
+NO_POSITION = -1
 UNKNOWN_AGE = -1.0  # sent as long as the store has not confirmed any state
 # Consecutive heartbeats that show a peer of another data centre ahead before changes
 # are requested from it. The readers of the own data centre bring most changes sooner,
@@ -60,6 +64,8 @@
         Request rates that targets have named.
     store_contact : StoreContact
         Outages of the store.
+    unconfirmed : UnconfirmedItems
+        Items known from before the store's return from an older copy.
     """
 
     def __init__(
@@ -73,9 +79,11 @@
         outliers: OutlierDetector,
         limits: TargetLimits,
         store_contact: StoreContact,
+        unconfirmed: UnconfirmedItems,
     ):
         super().__init__(own, members)
         self._store_contact = store_contact
+        self._unconfirmed = unconfirmed
         self._newest_revision = -1  # that a peer has named
         self.replica = replica
         self.freshness = freshness
@@ -183,13 +191,16 @@
 
     def _make_changes(self, after: int, items: list[StoreItem]) -> NewsChanges:
         """Return a message with the changes up to the replica's revision."""
-        raw_items = [[item.key, item.revision, item.value] for item in items]
+        raw_items = [format_item(item) for item in items]
         return NewsChanges(after, self.replica.revision, self._compute_age(), raw_items)
 
     def _start_sync(self, link: PeerLink) -> None:
         """Send a heartbeat to a new peer, which then requests what it lacks."""
         self._send(link, self._make_heartbeat())
         self._send(link, TroubleSeen([], []))
+        if kept := self._unconfirmed.list_items():
+            raw_items = [format_item(item) for item in kept]
+            self._send(link, NewsChanges(-1, NO_POSITION, UNKNOWN_AGE, raw_items))
 
     def _handle_heartbeat(self, link: PeerLink, heartbeat: NewsBeat) -> None:
         """Request changes if the peer is ahead; at equal revisions record its age."""
@@ -245,6 +256,9 @@
         """Merge changes and forward those that were new to this VM."""
         self.members.record_contact(link.vm)
         items = [parse_item(raw) for raw in message.items]
+        if message.revision == NO_POSITION:
+            self._unconfirmed.add_known(items, self.replica.find)
+            return
         before = self.replica.revision
         if message.age >= 0:
             self._store_contact.record(message.age)
@@ -266,6 +280,11 @@
             self._broadcast(self._make_heartbeat(), link)
 
 
+def format_item(item: StoreItem) -> list:
+    """Return the raw form of an item for a message, see `parse_item`."""
+    return [item.key, item.revision, item.value]
+
+
 def parse_item(raw: object) -> StoreItem:
     """Return the item of a message from its raw form.
 
--- a/packages/cassiastair/cassiastair/replication/reader.py
+++ b/packages/cassiastair/cassiastair/replication/reader.py
@@ -61,7 +61,7 @@
     store_available : bool
         Whether the last call succeeded; False before the first one.
     era : int
-        Era that the store's last answer named.
+        Era that the store's last answer named; -1 before the first.
     history_gone_count : int
         Number of watches that the store refused because it lacks the history.
     """
@@ -93,7 +93,7 @@
         self._backoff = MIN_BACKOFF_S
         self.failing = False
         self.store_available = False
-        self.era = 0
+        self.era = -1
         self.history_gone_count = 0
         self._is_behind = False
 
@@ -134,8 +134,7 @@
             self._back_off(failure)
             return False
         self._record_success(before, changes)
-        if before >= 0:
-            self._backoff = MIN_BACKOFF_S
+        self._backoff = MIN_BACKOFF_S
         if changes:
             self._sleep(self._batch_pause)
         return True
@@ -174,14 +173,14 @@
         """
         self._contact.record(0.0)
         position = StorePosition(page.era, page.revision)
-        if page.era != self.era:
+        if self.era not in (-1, page.era):
             self._log_event(
                 "store era",
                 answer_era=page.era,
                 answer_revision=page.revision,
                 **self._replica.position.describe(),
             )
-            self.era = page.era
+        self.era = page.era
         is_behind = position.to_number() < self._replica.revision
         if is_behind and not self._is_behind:
             self._log_event(
@@ -233,8 +232,8 @@
     def _wait_before_retry(self) -> None:
         """Wait before a call that follows one that brought nothing.
 
-        Only a watch that succeeds shortens the next wait: a store that refuses all
-        watches and serves full reads is not read in a loop.
+        A full read in place of a refused watch does not shorten the next wait: a store
+        that refuses all watches is not read in a loop.
         """
         self._sleep(self._backoff * (0.5 + self._rng.random()))
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
--- a/packages/cassiastair/cassiastair/replication/replica.py
+++ b/packages/cassiastair/cassiastair/replication/replica.py
@@ -170,6 +170,10 @@
             self._tombstone_count -= 1
             self.removed_floor = max(self.removed_floor, item.revision)
 
+    def find(self, key: str) -> StoreItem | None:
+        """Return the item of a key, which may be a tombstone; None if it is unknown."""
+        return self._items.get(key)
+
     def find_changes_after(self, revision: int) -> list[StoreItem] | None:
         """Return all changes after a revision, tombstones included.
 
--- a/packages/cassiastair/cassiastair/replication/restored_store_test.py
+++ b/packages/cassiastair/cassiastair/replication/restored_store_test.py
@@ -8,6 +8,8 @@
 
 from ..clock import ManualClock
 from ..testing.replication_bench import Fleet
+from .client import StorePage
+from .item import StoreItem
 
 MAX_CALLS_A_SECOND = 4  # of one reader whose calls bring nothing
 
@@ -34,6 +36,7 @@
 
     def check_replica(self) -> None:
         """Check that the VM knows what the store has."""
+        assert len(self.fleet.nodes[0].replica) == len(self.store.items)
         assert self.fleet.get_values(0) == self.store.get_values()
 
     def test_change_below_the_known_revision_is_taken(self):
@@ -76,6 +79,40 @@
         self.read()
         self.check_replica()
 
+    def test_peer_that_brings_the_era_during_a_watch_saves_a_full_read(self):
+        other = Fleet(1, self.clock)
+        other.store.restore(self.copy)
+        other.make_reader(0).read_once()
+        replica = other.nodes[0].replica
+        self.store.restore(self.copy)
+        self.store.write("new", b"1")
+        watch = self.store.watch
+
+        def watch_slowly(after: int, wait: float):
+            self.store.watch = watch
+            self.fleet.nodes[0].replica.replace(replica.list_items(), replica.revision)
+            return StorePage(tuple(self.store.history), self.store.revision, 1)
+
+        self.store.watch = watch_slowly
+        calls = self.store.calls
+        self.reader.read_once()
+        assert self.store.calls == calls
+        self.read()
+        self.check_replica()
+
+    def test_answer_of_an_earlier_era_confirms_nothing_and_is_not_repeated(self):
+        self.store.restore(self.copy)
+        self.read()
+        self.clock.advance(5.0)
+        self.store.era = 0
+        started, calls = self.clock.now(), self.store.calls
+        for _ in range(10):
+            assert not self.reader.read_once()
+        self.check_replica()
+        assert self.fleet.nodes[0].freshness.age >= 5.0
+        seconds = self.clock.now() - started
+        assert self.store.calls - calls <= MAX_CALLS_A_SECOND * seconds
+
     def test_refused_watches_are_not_repeated_at_once(self):
         self.store.restore(self.copy)
         self.store.drop_history()
@@ -87,6 +124,213 @@
         assert self.store.calls - calls <= MAX_CALLS_A_SECOND * seconds
 
 
+class TestItemsInForce(TestCase):
+    """What a VM acts on until the store has caught up with what it knew."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.fleet = Fleet(1, self.clock)
+        self.store = self.fleet.store
+        self.reader = self.fleet.make_reader(0)
+        self.write(config=b"1", drained=b"ready", gone=b"ready", changed=b"1")
+        self.copy = self.store.take_copy()
+        self.write(config=b"2", drained=b"draining", gone=None, changed=b"2")
+        self.write(added=b"ready")
+        self.known = dict(self.in_force)
+
+    @property
+    def in_force(self) -> dict[str, bytes]:
+        """Values that the VM acts on, by key."""
+        return self.fleet.in_force[0]
+
+    def write(self, **values: bytes | None) -> None:
+        """Write keys and let the VM read the store."""
+        for key, value in values.items():
+            self.store.write(key, value)
+        self.read()
+
+    def read(self) -> None:
+        """Read until the store has been watched after its last change."""
+        for _ in range(3):
+            self.reader.read_once()
+
+    def restore(self) -> None:
+        """Restore the store from the copy and let the VM read it."""
+        self.store.restore(self.copy)
+        self.read()
+
+    def pass_time(self, seconds: float) -> None:
+        """Advance the clock, in the steps of the maintenance task."""
+        for _ in range(round(seconds / 0.5)):
+            self.clock.advance(0.5)
+            self.fleet.unconfirmed[0].release_expired()
+
+    def test_older_states_and_missing_items_of_the_copy_change_nothing(self):
+        self.restore()
+        assert self.in_force == self.known | {"changed": b"1"}
+        assert self.fleet.events == [
+            ("store restored", {"missing": 1, "older": 3, "changed": 1})
+        ]
+
+    def test_missing_item_is_removed_unless_it_is_written_again(self):
+        self.store.write("lost", b"ready")
+        self.read()
+        self.restore()
+        self.write(added=b"ready")
+        assert {"added", "lost"} <= self.in_force.keys()
+        self.pass_time(3.0)
+        assert "added" in self.in_force
+        assert "lost" not in self.in_force
+
+    def test_draining_target_is_ready_once_its_record_has_not_lapsed(self):
+        self.restore()
+        self.pass_time(4.0)
+        assert self.in_force["drained"] == b"draining"
+        assert "gone" not in self.in_force
+        self.pass_time(1.5)
+        assert self.in_force["drained"] == b"ready"
+        assert self.in_force["gone"] == b"ready"
+
+    def test_record_that_lapses_leaves_a_removed_target_removed(self):
+        self.restore()
+        self.write(drained=None, gone=None)
+        self.pass_time(10.0)
+        assert not {"drained", "gone"} & self.in_force.keys()
+
+    def test_record_that_is_written_again_revives_a_removed_target(self):
+        self.restore()
+        self.write(gone=b"ready")
+        assert self.in_force["gone"] == b"ready"
+
+    def test_older_state_that_is_written_again_does_not_revive_a_target(self):
+        self.restore()
+        self.write(drained=b"ready")
+        assert self.in_force["drained"] == b"draining"
+        self.write(drained=b"draining")
+        self.pass_time(10.0)
+        assert self.in_force["drained"] == b"draining"
+
+    def test_older_state_of_a_missing_target_is_kept_out_as_long_as_of_others(self):
+        self.write(added=b"draining")
+        self.restore()
+        self.write(added=b"ready")
+        self.pass_time(4.0)
+        assert self.in_force["added"] == b"draining"
+        self.pass_time(1.5)
+        assert self.in_force["added"] == b"ready"
+
+    def test_changes_in_a_row_do_not_keep_a_target_draining_for_ever(self):
+        self.restore()
+        for number in range(12):
+            self.write(drained=b"ready", other=bytes([number]))
+            self.pass_time(0.5)
+        assert self.in_force["drained"] == b"ready"
+
+    def test_configuration_stays_until_a_newer_one_is_written(self):
+        self.restore()
+        self.pass_time(60.0)
+        assert self.in_force["config"] == b"2"
+        self.write(config=b"1")
+        assert self.in_force["config"] == b"2"
+        self.write(config=b"3")
+        assert self.in_force["config"] == b"3"
+        self.write(config=b"4")
+        assert self.in_force["config"] == b"4"
+
+    def test_items_are_kept_through_returns_in_a_row(self):
+        for _ in range(3):
+            self.restore()
+            self.pass_time(1.0)
+        assert self.in_force == self.known | {"changed": b"1"}
+        assert len(self.fleet.unconfirmed[0]) == 4
+        self.pass_time(10.0)
+        assert "added" not in self.in_force
+        assert self.in_force["config"] == b"2"
+
+    def test_later_copy_that_has_what_was_known_confirms_it(self):
+        later_copy = self.store.take_copy()
+        self.restore()
+        self.store.restore(later_copy)
+        self.read()
+        assert len(self.fleet.unconfirmed[0]) == 0
+        self.pass_time(10.0)
+        assert self.in_force == self.known
+
+    def test_removed_configuration_is_taken_from_the_copy(self):
+        self.write(config=None)
+        self.restore()
+        assert self.in_force["config"] == b"1"
+
+    def test_confirmation_is_logged_once(self):
+        self.restore()
+        self.write(config=b"2", drained=b"draining", gone=None, added=b"ready")
+        self.pass_time(10.0)
+        events = [event for event, _ in self.fleet.events]
+        assert events == ["store restored", "store confirmed"]
+
+
+class TestPeersWithKeptItems(TestCase):
+    """A VM that starts after the return and has peers that know more than the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet(3, ManualClock())
+        self.store = self.fleet.store
+        self.store.write("config", b"1")
+        copy = self.store.take_copy()
+        self.store.write("config", b"2")
+        self.store.write("added", b"ready")
+        self.reader = self.fleet.make_reader(0)
+        self.read(self.reader)
+        self.store.restore(copy)
+        self.read(self.reader)
+
+    def read(self, reader) -> None:
+        """Read the store and deliver what follows."""
+        for _ in range(3):
+            reader.read_once()
+            self.fleet.deliver()
+
+    def check(self, number: int) -> None:
+        """Check that a VM acts on what its peers know."""
+        assert self.fleet.in_force[number] == {"config": b"2", "added": b"ready"}
+
+    def test_vm_that_hears_its_peers_first_keeps_what_they_know(self):
+        self.fleet.restart(2)
+        self.fleet.deliver()
+        self.check(2)
+        self.read(self.fleet.make_reader(2))
+        self.check(2)
+
+    def test_vm_that_reads_the_copy_first_takes_what_its_peers_know(self):
+        self.start_without_peers()
+        assert self.fleet.in_force[2] == {"config": b"1"}
+        self.fleet.connect(0, 2)
+        self.fleet.deliver()
+        self.check(2)
+
+    def test_peer_that_keeps_less_changes_nothing(self):
+        kept = self.fleet.unconfirmed[0]
+        for version, expected in ((b"1x", b"2"), (b"3", b"3")):
+            kept.add_known([StoreItem("config", 2, version)], lambda key: None)
+            assert self.fleet.in_force[0]["config"] == expected
+
+    def test_peer_that_knows_less_changes_nothing(self):
+        self.store.write("config", b"3")
+        self.start_without_peers()
+        self.fleet.connect(0, 2)
+        self.fleet.deliver()
+        assert self.fleet.in_force[2]["config"] == b"3"
+
+    def start_without_peers(self) -> None:
+        """Restart a VM and let it read the store before it has any link."""
+        self.fleet.restart(2)
+        for end in self.fleet.links:
+            end.queue.clear()
+        self.fleet.make_reader(2).read_once()
+
+
 class TestVms(TestCase):
     """VMs that send one another what some of them have read."""
 
--- a/packages/cassiastair/cassiastair/testing/replication_bench.py
+++ b/packages/cassiastair/cassiastair/testing/replication_bench.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass
+from functools import partial
 
 from ..clock import ManualClock
 from ..data import Vm
@@ -11,6 +12,7 @@
 from ..peers.messages import NewsChanges
 from ..replication import (
     HistoryGone,
+    ItemPrecedence,
     ReplicationNode,
     StoreClient,
     StoreItem,
@@ -18,6 +20,7 @@
     StoreReader,
     StoreReadError,
     StoreReplica,
+    UnconfirmedItems,
 )
 
 
@@ -104,6 +107,20 @@
         return StorePage(changes, self.revision, self.era)
 
 
+class FakePrecedence(ItemPrecedence):
+    """Orders configurations by their bytes; a draining target stays so."""
+
+    def is_lasting(self, key: str) -> bool:
+        """Return True for the configuration."""
+        return key == "config"
+
+    def is_outdated(self, found: StoreItem, known: StoreItem) -> bool:
+        """Return True if what the store has is older than what is known."""
+        if known.key == "config":
+            return (found.value or b"") < known.value
+        return (found.value, known.value) == (b"ready", b"draining")
+
+
 class PipeLink(PeerLink):
     """One end of a link; messages are queued until the fleet delivers them."""
 
@@ -130,6 +147,9 @@
         self.store = FakeStore()
         self.detectors: list[OutlierDetector] = []
         self.limits: dict[int, TargetLimits] = {}
+        self.in_force: list[dict[str, bytes]] = [{} for _ in range(size)]
+        self.unconfirmed: dict[int, UnconfirmedItems] = {}
+        self.events: list[tuple[str, dict]] = []
         self.nodes = []
         self.history: list[list[int]] = []
         for number in range(size):
@@ -143,7 +163,16 @@
         """Return the node of a new VM with an empty replica."""
         vm = Vm(f"vm{number}", "r1", "dc", "127.0.0.1", 1, 2)
         members = MemberList(vm, self.clock)
-        replica = StoreReplica(lambda items: None)
+        self.in_force[number] = {}
+        unconfirmed = UnconfirmedItems(
+            self.clock,
+            FakePrecedence(),
+            partial(self.apply, number),
+            3.6,
+            lambda event, **fields: self.events.append((event, fields)),
+        )
+        self.unconfirmed[number] = unconfirmed
+        replica = StoreReplica(unconfirmed.apply_changes, unconfirmed.apply_restored)
         selection = ReaderSelection(vm.name, "dc", members.local_names, self.clock)
         freshness = Freshness(self.clock)
         outliers = OutlierDetector(self.clock)
@@ -160,8 +189,16 @@
             outliers,
             limits,
             StoreContact(self.clock),
+            unconfirmed,
         )
 
+    def apply(self, number: int, items: list[StoreItem]) -> None:
+        """Put items in force at a VM."""
+        for item in items:
+            self.in_force[number].pop(item.key, None)
+            if item.value is not None:
+                self.in_force[number][item.key] = item.value
+
     def connect(self, one: int, other: int) -> None:
         """Open a link between two VMs."""
         ends = [PipeLink(self.nodes[one]), PipeLink(self.nodes[other])]
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -38,6 +38,7 @@
     StoreClient,
     StoreReader,
     StoreReplica,
+    UnconfirmedItems,
 )
 from cassiastair.routing import RoutingTable
 
@@ -52,6 +53,7 @@
 from ..tasks import run_supervised
 from .boot_clock import BootClock
 from .caller_server import CallerServer
+from .decoded_precedence import DecodedPrecedence
 from .entry_memory import EntryMemory, read_resident_memory
 from .entry_settings import EntrySettings
 from .event_log import EventLog
@@ -235,7 +237,16 @@
         """Create the components that replicate the platform's store."""
         self.store = store
         self.applier = StoreChangeApplier(decoder, self.table, self.registry, self.log)
-        self.replica = StoreReplica(self.applier.apply)
+        self.unconfirmed = UnconfirmedItems(
+            self._clock,
+            DecodedPrecedence(decoder),
+            self.applier.apply,
+            self.settings.record_lapse_s,
+            self._log_event,
+        )
+        self.replica = StoreReplica(
+            self.unconfirmed.apply_changes, self.unconfirmed.apply_restored
+        )
         self.freshness = Freshness(self._clock)
         store_contact = StoreContact(self._clock)
         self.reader_selection = ReaderSelection(
@@ -251,6 +262,7 @@
             self.outliers,
             self.limits,
             store_contact,
+            self.unconfirmed,
         )
         self.node.log_event = self._log_event
         self.forwarder = CallForwarder(refuse_call)
@@ -339,6 +351,7 @@
         add("news_era", "Known completely.", lambda: replica.position.era)
         add("news_revision", "In that era.", lambda: replica.position.revision)
         add("news_age_seconds", "Age of the store's word.", self._read_store_age)
+        add("news_unconfirmed", "Kept items.", lambda: len(self.unconfirmed))
         add("store_calls", "Calls of the store.", lambda: self.store.calls)
         add("store_era", "Last named by the store.", lambda: self.reader.era)
         add(
@@ -440,6 +453,7 @@
         heap = HeapFreezer()
         while True:
             self.registry.remove_expired()
+            self.unconfirmed.release_expired()
             self.transport.update_shares()
             self._share_outliers()
             self._share_limits()
--- a/packages/cassiastaird/cassiastaird/entry/entry_settings.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_settings.py
@@ -27,6 +27,8 @@
         Seconds after which a draining target must not get requests.
     stop_grace_s : float
         Seconds from the stop signal to the end of the process.
+    record_lapse_s : float
+        Seconds of silence after which the store removes the record of a target.
     config_apply_s : float
         Seconds within which a new configuration must be in force.
     retry_ratio, retry_slack, retry_window_s : float
@@ -47,6 +49,7 @@
     store_address: Address
     target_drain_s: float
     stop_grace_s: float
+    record_lapse_s: float
     config_apply_s: float
     retry_ratio: float
     retry_slack: float
--- a/standins/world/cluster.py
+++ b/standins/world/cluster.py
@@ -15,7 +15,7 @@
 
 from .back_end import HEALTH_PATH, BackEnd, BackEndSpec
 from .http_messages import MessageReader, encode_message
-from .store import Store
+from .store import Store, StoreCopy
 from .vm_process import VmProcess, read_end
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -26,11 +26,14 @@
 DEFAULT_GRACE_S = 6.0  # for which a VM that stops may serve
 MEMORY_MB = 300  # limit of the memory of a VM's process
 MAX_FDS = 4096  # limit of its descriptors
+HEARTBEAT_MS = 1200  # interval at which targets write to the store
+MISSED_HEARTBEATS = 3  # after which the store removes the record of a target
 SETTINGS_TEMPLATE = """\
 nodeName = "{name}"
 zone = "{zone}"
 ip = "{host}"
 seeds = [{seeds}]
+heartbeatIntervalMs = {heartbeat_ms}
 [listenAddresses]
 front = "{host}:{front}"
 ready = "{host}:{ready}"
@@ -147,6 +150,7 @@
         self.back_ends: dict[str, BackEnd] = {}
         self.vms: dict[str, EntryVm] = {}
         self.version = 0
+        self._configuration: dict = {}
         self._host = make_loopback_host(os.getpid())
         self.shard_sets: list[tuple[str, ...]] = []
 
@@ -177,9 +181,40 @@
                 "idleTimeoutMs": 15000,
             },
         }
+        self._configuration = document
         self.store.put("op/config", document)
         return self.version
 
+    def restore_store(self, copy: StoreCopy, away_s: float) -> None:
+        """Bring the store back from a copy, after a time in which it resets all calls.
+
+        The back ends and the operators write again what they have in it now. The
+        records of back ends that are gone lapse.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+            State that the store comes back in.
+        away_s : float
+            Time in seconds for which it is away.
+        """
+        removed = copy.items.keys() - self.store.items.keys()
+        self.store.faults[""] = "reset"
+        self.store.restore(copy)
+        eventlet.sleep(away_s)
+        self.store.faults.pop("", None)
+        heartbeat_s = HEARTBEAT_MS / 1000
+        back_ends = list(self.back_ends.values())
+        for number, back_end in enumerate(back_ends):
+            if number == len(back_ends) // 2:
+                self.store.put("op/config", self._configuration)
+            back_end.register_again()
+            eventlet.sleep(heartbeat_s / len(back_ends))
+        eventlet.sleep((MISSED_HEARTBEATS - 1) * heartbeat_s)
+        for key in removed:
+            if (change := self.store.items.get(key)) is copy.items[key]:
+                self.store.remove(change.key)
+
     def add_vms(self, count: int, store_address: tuple[str, int] | None = None) -> None:
         """Write the settings of new VMs; the first three VMs are the seeds of all.
 
@@ -211,6 +246,7 @@
                 "memory_mb": MEMORY_MB,
                 "max_fds": MAX_FDS,
                 "grace_s": DEFAULT_GRACE_S,
+                "heartbeat_ms": HEARTBEAT_MS,
                 "store": f"{address[0]}:{address[1]}",
             }
             log_path = self.folder / f"{name}-0.log"
--- a/standins/world/restored_store_test.py
+++ b/standins/world/restored_store_test.py
@@ -1,11 +1,14 @@
 """Entry VMs in processes, and a store that comes back from an older copy."""
 
+import signal
+
 import eventlet
 
 from .back_end import BackEndSpec
 from .cluster import make_desk_route
-from .cluster_test import SHARDS, VMS, ClusterTestCase
+from .cluster_test import SHARDS, VMS, WAIT_TIMEOUT_S, ClusterTestCase
 
+HEARTBEAT_MS = 30_000  # so that no record is taken for one of a live target meanwhile
 LOST_CHANGES = 30  # changes that the copy lacks
 REQUEST_COUNT = 20  # requests to each VM that show which targets it uses
 
@@ -15,6 +18,8 @@
 
     def setUp(self):
         super().setUp()
+        for vm in self.cluster.vms.values():
+            vm.write_settings(heartbeat_ms=HEARTBEAT_MS)
         self.cluster.start_all()
         self.copy = self.cluster.store.take_copy()
         self.write_others(LOST_CHANGES)
@@ -85,6 +90,44 @@
             self.wait_until(lambda vm=vm: self.read_gauge(vm, "targets") == count - 1)
         self.check_unused("desk-0")
 
+    def test_targets_that_had_left_before_the_return_stay_unused(self):
+        count = self.read_gauge("vm0", "targets")
+        self.cluster.back_ends["desk-0"].register("draining")
+        self.cluster.back_ends["desk-1"].deregister()
+        self.wait_for_news()
+        self.cluster.store.restore(self.copy)
+        self.add_route()
+        self.check_new_route()
+        for vm in VMS:
+            assert self.read_gauge(vm, "targets") == count - 2
+        self.check_unused("desk-0")
+        self.check_unused("desk-1")
+
+    def test_target_that_the_copy_lacks_serves_on_and_goes_if_it_stays_so(self):
+        added = self.cluster.add_back_end(BackEndSpec("desk-new", "desk", "north"))
+        self.wait_for_news()
+        count = self.read_gauge("vm0", "targets")
+        self.cluster.store.restore(self.copy)
+        for vm in VMS:
+            self.wait_until(lambda vm=vm: self.read_gauge(vm, "news_era") == 1)
+        for vm in VMS:
+            self.wait_until(lambda vm=vm: self.read_gauge(vm, "targets") == count - 1)
+        added.register_again()
+        for vm in VMS:
+            self.wait_until(lambda vm=vm: self.read_gauge(vm, "targets") == count)
+
+    def test_vm_that_starts_after_the_return_has_the_configuration_of_its_peers(self):
+        self.add_route()
+        self.check_new_route()
+        self.cluster.store.restore(self.copy)
+        for vm in VMS:
+            self.wait_until(lambda vm=vm: self.read_gauge(vm, "news_unconfirmed") == 1)
+        self.cluster.send_signal("vm2", signal.SIGKILL)
+        self.cluster.wait_exit("vm2", WAIT_TIMEOUT_S)
+        self.cluster.start("vm2")
+        self.cluster.wait_ready("vm2")
+        self.check_new_route()
+
     def test_target_that_starts_after_the_return_is_used(self):
         self.cluster.store.restore(self.copy)
         added = self.cluster.add_back_end(BackEndSpec("desk-new", "desk", "north"))
