Order what the source of tickets publishes by era as well

The cause of the incident, looked for elsewhere: the own interface's reader started over when a revision went back, but read nothing below a revision that had passed the old one meanwhile; a peer that had not heard of the return moved it on to the old revision; and a list of draining targets below the known one was ignored.

Change: pages may name an era. Reader, heartbeats and the list of draining targets use StorePosition, which moves to the library's data. A list that an older copy shows takes no drain back until the next one.

--- a/packages/cassiastair/cassiastair/data/__init__.py
+++ b/packages/cassiastair/cassiastair/data/__init__.py
@@ -14,6 +14,7 @@
 from .service import Service
 from .shard_answer import ShardAnswer
 from .snapshot import Snapshot
+from .store_position import StorePosition
 from .target import Target
 from .ticket import Change, Ticket
 from .vm import Vm
@@ -36,6 +37,7 @@
     "Service",
     "ShardAnswer",
     "Snapshot",
+    "StorePosition",
     "Target",
     "Ticket",
     "Vm",
--- a/packages/cassiastair/cassiastair/replication/position.py
+++ b/packages/cassiastair/cassiastair/data/store_position.py
@@ -1,9 +1,6 @@
 """Positions of the store: the order of its states, across returns from older copies."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
-
-from .item import StoreItem
+from dataclasses import dataclass
 
 REVISION_BITS = 63
 
@@ -47,10 +44,3 @@
     def describe(self) -> dict[str, int]:
         """Return the fields of a log line."""
         return {"era": self.era, "revision": self.revision}
-
-    def place(self, items: Iterable[StoreItem]) -> list[StoreItem]:
-        """Return items that the store sent in this era, with positions as revisions."""
-        if self.era == 0:
-            return list(items)
-        start = StorePosition(self.era, 0).to_number()
-        return [replace(item, revision=start + item.revision) for item in items]
--- a/packages/cassiastair/cassiastair/membership/draining.py
+++ b/packages/cassiastair/cassiastair/membership/draining.py
@@ -8,6 +8,8 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
+from ..data import StorePosition
+
 
 @dataclass(frozen=True, slots=True)
 class DrainMark:
@@ -65,11 +67,25 @@
         return True
 
     def replace_list(self, revision: int, targets: Iterable[str]) -> bool:
-        """Replace the platform's list unless it is stale; return True if replaced."""
+        """Replace the platform's list unless it is stale; return True if replaced.
+
+        A list that an older copy of the platform shows takes no target off: the known
+        ones stay listed until the next list of that era.
+
+        Parameters
+        ----------
+        revision : int
+            Position of the list, as the number of a `StorePosition`.
+        targets : iterable of str
+            Names of the draining targets.
+        """
         if revision <= self._list_revision:
             return False
+        known = StorePosition.from_number(self._list_revision)
+        found = StorePosition.from_number(revision)
+        is_older = found.era > known.era and found.revision < known.revision
         self._list_revision = revision
-        self._listed = frozenset(targets)
+        self._listed = frozenset(targets) | (self._listed if is_older else frozenset())
         self.generation += 1
         return True
 
--- a/packages/cassiastair/cassiastair/membership/membership_test.py
+++ b/packages/cassiastair/cassiastair/membership/membership_test.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from ..clock import ManualClock
-from ..data import Vm
+from ..data import StorePosition, Vm
 from ..ticket_source import (
     PlatformEntry,
     PlatformError,
@@ -130,6 +130,21 @@
         assert not draining.replace_list(4, [])
         assert draining.is_draining("t")
 
+    def test_list_of_a_later_era_replaces_the_known_one(self):
+        draining = DrainingTargets()
+        draining.replace_list(StorePosition(0, 5).to_number(), ["a"])
+        assert draining.replace_list(StorePosition(1, 5).to_number(), ["b"])
+        assert draining.listed == {"b"}
+        assert not draining.replace_list(StorePosition(0, 9).to_number(), ["a"])
+
+    def test_older_list_of_a_later_era_adds_to_the_known_one_until_the_next(self):
+        draining = DrainingTargets()
+        draining.replace_list(StorePosition(0, 5).to_number(), ["a"])
+        draining.replace_list(StorePosition(1, 3).to_number(), ["b"])
+        assert draining.listed == {"a", "b"}
+        draining.replace_list(StorePosition(1, 4).to_number(), ["c"])
+        assert draining.listed == {"c"}
+
 
 class ScriptedSource(PlatformSource):
     """Platform that returns pages and raises errors in a given order."""
@@ -188,6 +203,19 @@
         assert entries == [old]
         assert reader.revision == 4
 
+    def test_page_of_an_earlier_era_changes_nothing_and_is_followed_by_a_pause(self):
+        late = PlatformEntry("tickets/1", b"{}")
+        script = [
+            PlatformPage(9, (), False, 2),
+            PlatformPage(9, (), False, 2),
+            *[PlatformPage(20, (late,), False, 1)] * 6,
+            PlatformPage(9, (), False, 2),
+        ]
+        reader, source, entries, pauses = self.read(script)
+        assert source.asked == [0, 0, *[9] * 7]
+        assert entries == []
+        assert max(pauses) > 2.0
+
     def test_malformed_vm_list_is_refused(self):
         for raw in (b"", b"[]", b'{"vms": 1}', b'{"vms": [{}], "leaving_targets": []}'):
             assert parse_vm_list(raw) is None
--- a/packages/cassiastair/cassiastair/replication/__init__.py
+++ b/packages/cassiastair/cassiastair/replication/__init__.py
@@ -8,7 +8,6 @@
 from .item import StoreItem
 from .item_precedence import ItemPrecedence
 from .node import ReplicationNode
-from .position import StorePosition
 from .reader import StoreReader
 from .replica import StoreReplica
 from .unconfirmed_items import UnconfirmedItems
@@ -20,7 +19,6 @@
     "StoreClient",
     "StoreItem",
     "StorePage",
-    "StorePosition",
     "StoreReadError",
     "StoreReader",
     "StoreReplica",
--- a/packages/cassiastair/cassiastair/replication/item.py
+++ b/packages/cassiastair/cassiastair/replication/item.py
@@ -1,6 +1,9 @@
 """One key of the platform's store at one revision."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from ..data import StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,3 +24,11 @@
     key: str
     revision: int
     value: bytes | None
+
+
+def place_items(items: Iterable[StoreItem], era: int) -> list[StoreItem]:
+    """Return items that the store sent in an era, with positions as revisions."""
+    if era == 0:
+        return list(items)
+    start = StorePosition(era, 0).to_number()
+    return [replace(item, revision=start + item.revision) for item in items]
--- a/packages/cassiastair/cassiastair/replication/reader.py
+++ b/packages/cassiastair/cassiastair/replication/reader.py
@@ -3,9 +3,10 @@
 import random
 from collections.abc import Callable
 
+from ..data import StorePosition
 from ..membership import Freshness, ReaderSelection, StoreContact
 from .client import HistoryGone, StoreClient, StorePage, StoreReadError
-from .position import StorePosition
+from .item import place_items
 from .replica import StoreReplica
 
 # Longest wait of a watch, as a share of the delay allowed for changes. Below 1, so
@@ -155,13 +156,17 @@
             return []
         if position.era > before.era:
             raise EraEnded("the store has come back from an older copy")
-        return self._replica.merge(position.place(page.items), position.to_number())
+        return self._replica.merge(
+            place_items(page.items, page.era), position.to_number()
+        )
 
     def _read_all(self) -> list:
         """Read and merge all items; return the changed ones."""
         page = self._client.read_all()
         position = self._record_answer(page)
-        return self._replica.replace(position.place(page.items), position.to_number())
+        return self._replica.replace(
+            place_items(page.items, page.era), position.to_number()
+        )
 
     def _record_answer(self, page: StorePage) -> StorePosition:
         """Record that the store answered, and return the position of the answer.
--- a/packages/cassiastair/cassiastair/replication/replica.py
+++ b/packages/cassiastair/cassiastair/replication/replica.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
+from ..data import StorePosition
 from .item import StoreItem
-from .position import StorePosition
 
 ItemsByKey = Mapping[str, StoreItem]
 
--- a/packages/cassiastair/cassiastair/replication/restored_store_test.py
+++ b/packages/cassiastair/cassiastair/replication/restored_store_test.py
@@ -9,11 +9,22 @@
 from ..clock import ManualClock
 from ..testing.replication_bench import Fleet
 from .client import StorePage
-from .item import StoreItem
+from .item import StoreItem, place_items
 
 MAX_CALLS_A_SECOND = 4  # of one reader whose calls bring nothing
 
 
+class TestPlacedItems(TestCase):
+    """Items as the store sends them, in the order of its states."""
+
+    def test_placed_items_have_positions_as_revisions(self):
+        items = [StoreItem("a", 7, b"1"), StoreItem("b", 9, None)]
+        assert place_items(items, 0) == items
+        placed = place_items(items, 2)
+        assert [item.revision for item in placed] == [2**64 + 7, 2**64 + 9]
+        assert [item.value for item in placed] == [b"1", None]
+
+
 class TestReader(TestCase):
     """One VM that reads the store."""
 
--- a/packages/cassiastair/cassiastair/ticket_source/entry.py
+++ b/packages/cassiastair/cassiastair/ticket_source/entry.py
@@ -13,10 +13,13 @@
         Key of the value, such as ``tickets/12``.
     value : bytes
         Content, at most one megabyte.
+    era : int
+        Era of the platform, see `PlatformPage`.
     """
 
     key: str
     value: bytes
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +34,12 @@
         The values, oldest first.
     more : bool
         Whether the platform has further values after the page.
+    era : int
+        Number of times that the platform has come back from an older copy of itself;
+        0 if it does not say. Revisions are comparable within an era only.
     """
 
     revision: int
     entries: tuple[PlatformEntry, ...]
     more: bool
+    era: int = 0
--- a/packages/cassiastair/cassiastair/ticket_source/reader.py
+++ b/packages/cassiastair/cassiastair/ticket_source/reader.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from ..data import StorePosition
 from ..membership import Freshness, MemberList, ReaderSchedule
 from .entry import PlatformEntry
 from .source import PlatformError, PlatformSource
@@ -36,7 +37,8 @@
     Attributes
     ----------
     revision : int
-        Revision up to which the platform has been read.
+        Position up to which the platform has been read, as the number of a
+        `StorePosition`.
     calls, failures : int
         Number of reads, and of those that failed.
     """
@@ -87,35 +89,44 @@
             True if a page was read and its entries were passed on.
         """
         self.calls += 1
+        before = StorePosition.from_number(self.revision)
         try:
-            page = self._source.watch(self.revision, wait)
+            page = self._source.watch(before.revision, wait)
         except PlatformError:
-            self.failures += 1
-            self._sleep(self._backoff * (0.5 + self._rng.random()))
-            self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
+            self._back_off()
+            return False
+        position = StorePosition(page.era, page.revision)
+        if position.era < StorePosition.from_number(self.revision).era:
+            self._back_off()  # a late answer, or one of a stale replica
             return False
         self._backoff = INITIAL_BACKOFF_S
-        if page.revision < self.revision:
-            self._restart()
+        if position.era > before.era or position.to_number() < self.revision:
+            self._restart(position.era)
             return False
         self._on_entries(page.entries)
-        self.revision = page.revision
+        self.revision = position.to_number()
         if not page.more:
             self._freshness.record(0.0)
         return True
 
-    def _restart(self) -> None:
-        """Start again at revision 0, because the platform returned an older revision.
+    def _back_off(self) -> None:
+        """Count a failed read and wait before the next one."""
+        self.failures += 1
+        self._sleep(self._backoff * (0.5 + self._rng.random()))
+        self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
+
+    def _restart(self, era: int) -> None:
+        """Start again at the beginning of an era.
 
-        The platform may be a stale replica or restored from a backup. Merging is
-        idempotent, so reading values twice is safe. Until all values are read
-        again, the state does not count as confirmed.
+        The platform came back from an older copy, or returned an older revision since
+        it is a stale replica. Merging is idempotent, so reading values twice is safe.
+        Until all values are read again, the state does not count as confirmed.
         """
-        self.revision = 0
+        self.revision = StorePosition(era, 0).to_number()
         self._sleep(self._backoff * (0.5 + self._rng.random()))
 
     def advance_to(self, revision: int) -> None:
-        """Continue after the revision that a peer has read, if it is higher.
+        """Continue after the position that a peer has read, if it is later.
 
         The caller must know that the state of the peer is merged here.
         """
--- a/packages/cassiastaird/cassiastaird/entry/store_change_applier.py
+++ b/packages/cassiastaird/cassiastaird/entry/store_change_applier.py
@@ -1,8 +1,9 @@
 """Applies changes of the platform's store to the routing table and the targets."""
 
+from cassiastair.data import StorePosition
 from cassiastair.errors import MalformedRequestError
 from cassiastair.forwarding import DecisionLog, RoutedTargetRegistry
-from cassiastair.replication import StoreItem, StorePosition
+from cassiastair.replication import StoreItem
 from cassiastair.routing import RoutingTable
 
 from .item_decoder import ItemDecoder
--- a/packages/cassiastaird/cassiastaird/platform_entry_applier.py
+++ b/packages/cassiastaird/cassiastaird/platform_entry_applier.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from cassiastair.data import StorePosition
 from cassiastair.membership import MemberList
 from cassiastair.peers import TicketNode
 from cassiastair.ticket_source import PlatformEntry, parse_vm_list
@@ -62,7 +63,8 @@
             return
         self._refused.pop(entry.key, None)
         self._members.add_reported(vm_list.vms)
-        self._node.merge_drain_list(vm_list.revision, vm_list.leaving_targets)
+        position = StorePosition(entry.era, vm_list.revision)
+        self._node.merge_drain_list(position.to_number(), vm_list.leaving_targets)
 
     def describe_refused(self) -> dict[str, list[str]]:
         """Return the problems of each refused value by key."""
--- a/packages/cassiastaird/cassiastaird/ticket_source/client.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/client.py
@@ -14,6 +14,7 @@
 READ_MARGIN_S = 1.0  # time beyond the requested wait before a long poll times out
 CONNECT_TIMEOUT_S = 1.0
 MAX_PAGE_BYTES = 8_000_000
+MAX_ERA = 2**53 - 1  # largest whole number that every JSON writer keeps exact
 
 
 class HttpPlatformSource(PlatformSource):
@@ -59,11 +60,14 @@
         raise PlatformError("the page is too large")
     try:
         document = orjson.loads(raw)
+        era = document.get("era", 0)
+        if type(era) is not int or not 0 <= era <= MAX_ERA:
+            raise ValueError(f"{era!r:.80} is not an era")
         entries = tuple(
-            PlatformEntry(str(item["key"]), str(item["value"]).encode())
+            PlatformEntry(str(item["key"]), str(item["value"]).encode(), era)
             for item in document["entries"]
         )
         revision = int(document["revision"])
-        return PlatformPage(revision, entries, document.get("more") is True)
+        return PlatformPage(revision, entries, document.get("more") is True, era)
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
         raise PlatformError(f"the page is malformed: {error!r}") from error
--- a/packages/cassiastaird/cassiastaird/ticket_source/client_test.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/client_test.py
@@ -6,7 +6,7 @@
 from standins.raw_http import format_reply
 from standins.scripted_target import Reply, ScriptedTarget
 
-from .client import HttpPlatformSource
+from .client import HttpPlatformSource, decode_page
 
 WHOLE = format_reply(200, {"revision": 3, "entries": [], "more": False})
 
@@ -31,3 +31,18 @@
             self.assertRaises(PlatformError, source.watch, 0, 0.1)
             server.script.append(Reply(WHOLE))
             assert source.watch(0, 0.1).revision == 3
+
+
+class TestEra(TestCase):
+    """Eras that the platform names in its pages."""
+
+    def test_era_is_that_of_the_page_and_its_entries(self):
+        entries = b'[{"key": "vms", "value": ""}]'
+        page = decode_page(b'{"revision": 3, "entries": %b, "era": 4}' % entries)
+        assert (page.era, page.entries[0].era) == (4, 4)
+        assert decode_page(b'{"revision": 3, "entries": []}').era == 0
+
+    def test_page_with_an_era_that_is_no_count_is_refused(self):
+        for era in (b"-1", b'"1"', b"1.0", b"true", b"null", b"9007199254740992"):
+            raw = b'{"revision": 3, "entries": [], "era": %b}' % era
+            self.assertRaises(PlatformError, decode_page, raw)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -38,6 +38,7 @@
     def __init__(self, host: str = "127.0.0.1", port: int = 0):
         self._values: dict[str, tuple[int, str]] = {}
         self.revision = 0
+        self.era = 0
         self.counts: Counter = Counter()
         self._calls_by_second: Counter = Counter()
         self._published = Event()
@@ -77,6 +78,16 @@
         published.send(None)
         return self.revision
 
+    def take_copy(self) -> tuple[dict[str, tuple[int, str]], int]:
+        """Return the values and the revision, for `restore`."""
+        return dict(self._values), self.revision
+
+    def restore(self, copy: tuple[dict[str, tuple[int, str]], int]) -> None:
+        """Come back from a copy, in the next era."""
+        values, self.revision = copy
+        self._values = dict(values)
+        self.era += 1
+
     def _handle_request(self, request: RawRequest) -> bytes | None:
         """Return the reply to a read or watch; None closes the connection."""
         if self.down:
@@ -136,9 +147,14 @@
             size += len(value)
             if entries and size > MAX_PAGE_BYTES:
                 last = entries[-1]["revision"]
-                return {"revision": last, "entries": entries, "more": True}
+                return self._describe_page(last, entries, True)
             entries.append({"key": key, "revision": revision, "value": value})
-        return {"revision": visible, "entries": entries, "more": False}
+        return self._describe_page(visible, entries, False)
+
+    def _describe_page(self, revision: int, entries: list, more: bool) -> dict:
+        """Return the document of a page."""
+        page = {"revision": revision, "entries": entries, "more": more}
+        return page | {"era": self.era}
 
     def _handle_control(self, request: RawRequest) -> bytes:
         """Publish a value or switch faults, and return the revision and the counts."""
