--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -47,12 +47,15 @@
     "target_stalls",
     "target_sends_without_end",
 )
-STEP_KINDS = (*FAULT_KINDS, *NOTICE_KINDS, *LIFE_KINDS, *REUSE_KINDS)
+RESTORE_KINDS = ("store_restored",)
+STEP_KINDS = (*FAULT_KINDS, *NOTICE_KINDS, *LIFE_KINDS, *REUSE_KINDS, *RESTORE_KINDS)
 NOTICE_SHARE = 0.6  # of the plans that have a step in which a target says something
 LIFE_SHARE = 0.8  # of the plans with steps on a process's life and what it must hold
 MAX_LIFE_STEPS = 5
 REUSE_SHARE = 0.5  # of the plans in which addresses of targets are reused
 MAX_REUSE_STEPS = 3
+RESTORE_SHARE = 0.5  # of the plans in which the store comes back from an older copy
+MAX_RESTORE_STEPS = 3
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 3.0
 
@@ -121,4 +124,7 @@
     if rng.random() < REUSE_SHARE:
         count = rng.randint(1, MAX_REUSE_STEPS)
         steps += [draw_step(rng, REUSE_KINDS) for _ in range(count)]
+    if rng.random() < RESTORE_SHARE:
+        count = rng.randint(1, MAX_RESTORE_STEPS)
+        steps += [draw_step(rng, RESTORE_KINDS) for _ in range(count)]
     return sorted(steps, key=lambda step: step.starts_at)
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -9,6 +9,7 @@
 from ..world.back_end import BackEndSpec
 from ..world.caller import Caller
 from ..world.cluster import HOST, Cluster, make_desk_route, make_search_route
+from ..world.store import StoreCopy
 from ..world.vm_process import measure_earliest_handler
 from .checks import Observations, check_misdirected, find_violations
 from .life_steps import LifeSteps
@@ -23,6 +24,9 @@
 RESTART_DELAY_S = 0.3  # from the exit of a VM's process to its next start
 DESK_COUNT = 3
 OBSERVE_INTERVAL_S = 0.2  # between two looks at the VMs' processes
+COPY_INTERVAL_S = 0.5  # between two copies of the store
+COPY_AGE_S = (1.0, 12.0)  # of the copy from which the store comes back
+AWAY_S = (0.1, 3.0)  # for which it is away then
 ENDLESS_S = (2.0, 6.0)  # for which the store sends without end
 LIMIT_S = 6.0  # shortest time for which targets name a limit
 LEAVING_S = 6.0  # from a target's own word to that of the store; twice the drain limit
@@ -51,6 +55,7 @@
         self._last_suffix = 0
         self._shards: tuple[str, ...] = ()
         self._tasks: list = []
+        self._copies: list[tuple[float, StoreCopy]] = []  # oldest first
         self._stopping = False
         self._unrecovered: list[str] = []
         self._life: LifeSteps | None = None
@@ -90,8 +95,17 @@
         self._life = LifeSteps(self._cluster, self._record_disturbance)
         self._earliest_s = measure_earliest_handler()
         self._tasks.append(eventlet.spawn(self._observe_processes))
+        self._tasks.append(eventlet.spawn(self._take_copies))
         self._cluster.start_all()
 
+    def _take_copies(self) -> None:
+        """Copy the store at intervals, for the steps that restore it."""
+        while True:
+            self._copies.append(
+                (self._cluster.clock(), self._cluster.store.take_copy())
+            )
+            eventlet.sleep(COPY_INTERVAL_S)
+
     def _observe_processes(self) -> None:
         """Read the memory and the ends of the VMs' processes at intervals."""
         while True:
@@ -288,6 +302,17 @@
         self._record_disturbance("store", 0.1)
         self._cluster.store.compact()
 
+    def _do_store_restored(self, step: Step) -> None:
+        """Restore the store from the newest copy that has at least an age."""
+        taken_before = self._cluster.clock() - step.spread(*COPY_AGE_S)
+        copy = self._copies[0][1]
+        for taken_at, newer_copy in self._copies:
+            if taken_at <= taken_before:
+                copy = newer_copy
+        away_s = step.spread(*AWAY_S)
+        self._record_disturbance("store", away_s)
+        self._cluster.restore_store(copy, away_s)
+
     def _do_store_reset_connections(self, step: Step) -> None:
         self._record_disturbance("store", 0.1)
         self._store_proxy.reset()
