Send peers what differs between two eras instead of a copy of all items

Cause: a VM that is behind by an era got a copy of all items. With 75,000 targets that is 14.4 MB, links accept 4 MB, and each VM of a data centre would ask for one at the same time.

Change: a replica remembers where its era began and which keys differ from the state before. A peer that was at that position gets these and what came since; any other one, and one that knows more than its position says, gets a copy as before. Releases without eras merge the difference like any other.

--- a/packages/cassiastair/cassiastair/replication/node.py
+++ b/packages/cassiastair/cassiastair/replication/node.py
@@ -6,12 +6,13 @@
 own revision. Since positions of the store order all of its states, comparing them is
 enough and contents need not be compared. A revision in a message is the number of a
 `StorePosition`: releases that know no eras order states by these numbers as well. A VM
-that is behind by an era gets a copy of all items.
+that is behind by an era gets what differs if it was where the sender was when the era
+began, and otherwise a copy of all items.
 """
 
 from collections.abc import Callable
 
-from ..data import Vm
+from ..data import StorePosition, Vm
 from ..errors import PeerProtocolError
 from ..forwarding import OutlierDetector, TargetLimits
 from ..membership import Freshness, MemberList, ReaderSelection, StoreContact
@@ -269,6 +270,11 @@
             return
         if message.after < 0:
             changed = self.replica.replace(items, message.revision)
+        elif find_era(message.after) < find_era(message.revision):
+            if message.after < before or not self.replica.is_exact():
+                self._send(link, NewsWant(-1))
+                return
+            changed = self.replica.advance(items, message.revision)
         else:
             changed = self.replica.merge(items, message.revision)
         self.counts.repaired += len(changed)
@@ -280,6 +286,11 @@
             self._broadcast(self._make_heartbeat(), link)
 
 
+def find_era(number: int) -> int:
+    """Return the era of a position that is given as a number."""
+    return StorePosition.from_number(number).era
+
+
 def format_item(item: StoreItem) -> list:
     """Return the raw form of an item for a message, see `parse_item`."""
     return [item.key, item.revision, item.value]
--- a/packages/cassiastair/cassiastair/replication/replica.py
+++ b/packages/cassiastair/cassiastair/replication/replica.py
@@ -55,6 +55,11 @@
         self._tombstone_count = 0
         self.revision = -1
         self.removed_floor = -1
+        # Where the era began here: the position before, -1 if unknown, the one after,
+        # and the keys whose state may differ between the two.
+        self._era_start = -1
+        self._era_floor = -1
+        self._era_keys: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         """Return the number of keys without the removed ones."""
@@ -114,7 +119,7 @@
         found = list(items)
         era = StorePosition.from_number(revision).era
         if 0 <= self.position.era < era:
-            self._restore(found, revision)
+            self._enter_era({item.key: item for item in found}, revision)
             return found
         present = {item.key for item in found}
         removed = [
@@ -129,14 +134,58 @@
             self.removed_floor = max(self.removed_floor, revision)
         return self.merge(changed, revision)
 
-    def _restore(self, items: list[StoreItem], revision: int) -> None:
-        """Replace all items by those of a later era."""
+    def advance(self, changes: Iterable[StoreItem], revision: int) -> list[StoreItem]:
+        """Replace the state by that of a later era, given all that differs.
+
+        Parameters
+        ----------
+        changes : iterable of StoreItem
+            Items that differ between this replica's state and the later one, with
+            tombstones for those that the later one lacks.
+        revision : int
+            Revision up to which the later state is complete.
+
+        Returns
+        -------
+        list of StoreItem
+            The changes.
+        """
+        changes = list(changes)
+        items = {item.key: item for item in self.list_items()}
+        items.update((item.key, item) for item in changes)
+        live = {key: item for key, item in items.items() if item.value is not None}
+        self._enter_era(live, revision)
+        return changes
+
+    def is_exact(self) -> bool:
+        """Return True if the replica has no changes after its revision.
+
+        A full read may include some of the changes that are made meanwhile.
+        """
+        return all(item.revision <= self.revision for item in self._items.values())
+
+    def _enter_era(self, items: dict[str, StoreItem], revision: int) -> None:
+        """Replace all items by those of a later era, given without removed ones."""
         before = self._items
-        self._items = {item.key: item for item in items}
-        self._tombstone_count = sum(item.value is None for item in items)
+        tombstones = {
+            item.key: StoreItem(item.key, revision, None)
+            for item in self.list_items()
+            if item.key not in items
+        }
+        changed = {
+            key
+            for key, item in items.items()
+            if key not in before
+            or before[key].value != item.value
+            or before[key].revision > self.revision
+        }
+        self._era_start, self._era_floor = self.revision, revision
+        self._era_keys = frozenset(changed.union(tombstones))
+        self._items = items | tombstones
+        self._tombstone_count = len(tombstones)
         self.revision = revision
         self.removed_floor = revision
-        self._on_restore(before, self._items)
+        self._on_restore(before, items)
 
     def _report_all(self, before: ItemsByKey, after: ItemsByKey) -> None:
         """Report the items of a later era, and the removal of those that it lacks."""
@@ -165,6 +214,7 @@
             return
         tombstones = [item for item in self._items.values() if item.value is None]
         tombstones.sort(key=lambda item: item.revision)
+        self._era_start = -1
         for item in tombstones[: len(tombstones) // 2]:
             del self._items[item.key]
             self._tombstone_count -= 1
@@ -183,9 +233,15 @@
             None if removals after that revision may be missing; a peer that is at
             that revision then needs a copy of all items.
         """
-        if revision < self.removed_floor:
-            return None
-        return [item for item in self._items.values() if item.revision > revision]
+        if revision >= self.removed_floor:
+            return [item for item in self._items.values() if item.revision > revision]
+        if 0 <= revision == self._era_start:
+            return [
+                item
+                for key, item in self._items.items()
+                if key in self._era_keys or item.revision > self._era_floor
+            ]
+        return None
 
     def list_items(self) -> list[StoreItem]:
         """Return the items without the removed keys."""
--- a/packages/cassiastair/cassiastair/replication/restored_store_test.py
+++ b/packages/cassiastair/cassiastair/replication/restored_store_test.py
@@ -1,6 +1,7 @@
 """Tests of reading and replicating a store that comes back from an older copy."""
 
 import random
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
 from ..testing.replication_bench import Fleet
 from .client import StorePage
 from .item import StoreItem, place_items
+from .replica import StoreReplica
 
 MAX_CALLS_A_SECOND = 4  # of one reader whose calls bring nothing
 
@@ -345,6 +347,101 @@
 class TestVms(TestCase):
     """VMs that send one another what some of them have read."""
 
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet(3, ManualClock())
+        self.store = self.fleet.store
+        for number in range(50):
+            self.store.write(f"kept{number}", b"1")
+        self.copy = self.store.take_copy()
+        self.store.write("lost", b"1")
+        self.store.write("kept0", None)
+        self.store.write("kept1", b"2")
+        self.reader = self.fleet.make_reader(0)
+        self.read()
+
+    def read(self) -> list[int]:
+        """Read the store; return the sizes of the changes that are sent then."""
+        sizes = []
+        for _ in range(3):
+            self.reader.read_once()
+            sizes += self.fleet.deliver()
+        return sizes
+
+    def check(self) -> None:
+        """Check that all VMs know what the store has."""
+        for number in range(3):
+            assert self.fleet.get_values(number) == self.store.get_values()
+
+    def test_vm_that_knew_the_same_gets_what_differs(self):
+        self.store.restore(self.copy)
+        self.store.write("new", b"1")
+        assert self.read() == [4, 4]
+        self.check()
+
+    def test_vm_that_knew_the_same_gets_later_changes_as_well(self):
+        self.store.restore(self.copy)
+        for _ in range(3):
+            self.reader.read_once()
+        for end in self.fleet.links:
+            end.queue.clear()
+        self.store.write("new", b"1")
+        self.store.write("kept5", None)
+        self.store.drop_history()
+        assert set(self.read()) == {5}
+        self.check()
+
+    def test_vm_that_knew_less_gets_everything(self):
+        self.store.write("unheard", b"1")
+        self.reader.read_once()
+        for end in self.fleet.links:
+            end.queue.clear()
+        self.store.restore(self.copy)
+        assert max(self.read()) == 50
+        self.check()
+
+    def test_vm_that_has_moved_on_meanwhile_gets_everything(self):
+        node, link = self.fleet.nodes[1], self.fleet.nodes[1].links["vm0"]
+        after = node.replica.revision
+        self.store.restore(self.copy)
+        for _ in range(3):
+            self.reader.read_once()
+        for end in self.fleet.links:
+            end.queue.clear()
+        changes = self.fleet.nodes[0].replica.find_changes_after(after)
+        message = self.fleet.nodes[0]._make_changes(after, changes)
+        node.replica.merge([StoreItem("unheard", after + 1, b"1")], after + 1)
+        node.handle(link, message)
+        self.fleet.deliver()
+        self.check()
+
+    def test_vm_that_read_more_than_its_position_says_sends_it(self):
+        self.store.write("early", b"1")
+        self.copy = self.store.take_copy()
+        replica = self.fleet.nodes[0].replica
+        replica.merge([self.store.items["early"]], replica.revision)
+        self.store.restore(self.copy)
+        self.read()
+        self.check()
+
+    def test_vm_that_knows_more_than_its_position_says_gets_everything(self):
+        for node in self.fleet.nodes[1:]:
+            early = StoreItem("kept7", node.replica.revision + 1, b"early")
+            node.replica.merge([early], node.replica.revision)
+        self.store.restore(self.copy)
+        assert max(self.read()) == 50
+        self.check()
+
+    def test_vm_that_lost_tombstones_sends_everything(self):
+        self.store.restore(self.copy)
+        for _ in range(3):
+            self.reader.read_once()
+        replica = self.fleet.nodes[0].replica
+        assert replica.find_changes_after(self.fleet.nodes[1].replica.revision)
+        with mock.patch(f"{StoreReplica.__module__}.MAX_TOMBSTONES", 0):
+            replica.merge([], replica.revision)
+        assert replica.find_changes_after(self.fleet.nodes[1].replica.revision) is None
+
     def test_change_after_the_return_reaches_all_vms(self):
         fleet = Fleet(4, ManualClock())
         fleet.store.write("kept", b"1")
@@ -394,5 +491,8 @@
             for node in fleet.nodes:
                 node.send_heartbeats()
             fleet.deliver()
+        fleet.clock.advance(10.0)
         for number in range(5):
             assert fleet.get_values(number) == store.get_values()
+            fleet.unconfirmed[number].release_expired()
+            assert fleet.in_force[number] == store.get_values()
--- a/packages/cassiastair/cassiastair/testing/replication_bench.py
+++ b/packages/cassiastair/cassiastair/testing/replication_bench.py
@@ -207,15 +207,26 @@
         for end in ends:
             end.node.send_hello(end)
 
-    def deliver(self, lose=lambda: False) -> None:
-        """Deliver queued messages until none is left; lose some of the changes."""
+    def deliver(self, lose=lambda: False) -> list[int]:
+        """Deliver queued messages until none is left; lose some of the changes.
+
+        Returns
+        -------
+        list of int
+            Number of items in each message with changes that has arrived.
+        """
+        sizes = []
         while any(end.queue for end in self.links):
             for end in list(self.links):
                 while end.queue:
                     message = end.queue.pop(0)
                     is_changes = isinstance(message, NewsChanges)
-                    if not (is_changes and lose()):
-                        end.other_end.node.handle(end.other_end, message)
+                    if is_changes and lose():
+                        continue
+                    if is_changes and message.revision >= 0:
+                        sizes.append(len(message.items))
+                    end.other_end.node.handle(end.other_end, message)
+        return sizes
 
     def read_store(self, number: int) -> None:
         """Let a VM read the store and publish the changes."""
