--- a/packages/cassiastair/cassiastair/replication/replication_test.py
+++ b/packages/cassiastair/cassiastair/replication/replication_test.py
@@ -141,6 +141,17 @@
         self.reader.read_once()
         assert self.clock.now() - before < 1.3
 
+    def test_backoff_begins_anew_after_a_success(self):
+        self.store.failing = True
+        for _ in range(10):
+            self.reader.read_once()
+        self.store.failing = False
+        self.reader.read_once()
+        self.store.failing = True
+        before = self.clock.now()
+        self.reader.read_once()
+        assert self.clock.now() - before < 0.2
+
     def test_dropped_history_leads_to_a_full_read_with_removals(self):
         self.store.write("a", b"1")
         self.store.write("b", b"1")
--- a/packages/cassiastair/cassiastair/testing/replication_bench.py
+++ b/packages/cassiastair/cassiastair/testing/replication_bench.py
@@ -116,6 +116,7 @@
 
     def is_outdated(self, found: StoreItem, known: StoreItem) -> bool:
         """Return True if what the store has is older than what is known."""
+        assert known.value is not None
         if known.key == "config":
             return (found.value or b"") < known.value
         return (found.value, known.value) == (b"ready", b"draining")
