--- a/packages/cassiastair/cassiastair/replication/restored_store_test.py
+++ b/packages/cassiastair/cassiastair/replication/restored_store_test.py
@@ -3,6 +3,7 @@
 import random
 from unittest import mock
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -459,6 +460,10 @@
         for number in range(4):
             assert fleet.get_values(number) == fleet.store.get_values()
 
+    @pytest.mark.proof(
+        promise="tickets",
+        failure="store: comes back from older copies; restarts, lost messages",
+    )
     @settings(max_examples=150, derandomize=True, database=None, deadline=None)
     @given(st.integers(0, 2**32))
     def test_replicas_converge_through_returns_restarts_and_lost_messages(self, seed):
--- a/packages/cassiastaird/cassiastaird/ticket_source/restored_source_test.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/restored_source_test.py
@@ -3,6 +3,7 @@
 import random
 
 import orjson
+import pytest
 from cassiastair.clock import ManualClock
 from cassiastair.data import Vm
 from cassiastair.membership import (
@@ -82,6 +83,10 @@
         self.vm.read()
         assert "tickets/10" in self.vm.tickets
 
+    @pytest.mark.proof(
+        promise="tickets",
+        failure="own interface: the source comes back from an older copy",
+    )
     def test_ticket_below_the_known_revision_is_read_once_it_has_passed(self):
         self.server.restore(self.copy)
         for number in range(10, 20):
--- a/standins/world/restored_store_test.py
+++ b/standins/world/restored_store_test.py
@@ -3,6 +3,7 @@
 import signal
 
 import eventlet
+import pytest
 
 from .back_end import BackEndSpec
 from .cluster import make_desk_route
@@ -73,6 +74,10 @@
         self.add_route()
         self.check_new_route()
 
+    @pytest.mark.proof(
+        promise="tickets",
+        failure="store: comes back from an older copy, over processes",
+    )
     def test_configuration_before_the_revision_has_passed_comes_into_force(self):
         self.cluster.store.faults[""] = "reset"
         self.cluster.store.restore(self.copy)
@@ -82,6 +87,10 @@
         self.cluster.store.faults.clear()
         self.check_new_route()
 
+    @pytest.mark.proof(
+        promise="leaving targets",
+        failure="store: comes back from an older copy, then they drain, over processes",
+    )
     def test_target_that_drains_after_the_return_is_not_used(self):
         self.cluster.store.restore(self.copy)
         count = self.read_gauge("vm0", "targets")
@@ -90,6 +99,10 @@
             self.wait_until(lambda vm=vm: self.read_gauge(vm, "targets") == count - 1)
         self.check_unused("desk-0")
 
+    @pytest.mark.proof(
+        promise="leaving targets",
+        failure="store: comes back from an older copy that shows them, over processes",
+    )
     def test_targets_that_had_left_before_the_return_stay_unused(self):
         count = self.read_gauge("vm0", "targets")
         self.cluster.back_ends["desk-0"].register("draining")
