--- a/packages/cassiastair/cassiastair/replication/replica.py
+++ b/packages/cassiastair/cassiastair/replication/replica.py
@@ -31,8 +31,8 @@
         Called with the list of changed items after each merge that changed any.
     on_restore : callable, optional
         Called when the state of a later era has replaced that of an earlier one, with
-        the items of both, tombstones included, by key. If None, `on_change` is called
-        with the items of the later era and with tombstones for the others.
+        the items of both by key, the earlier ones with tombstones. If None, `on_change`
+        is called with the items of the later era and with tombstones for the others.
 
     Attributes
     ----------
--- a/packages/cassiastair/cassiastair/replication/restored_store_test.py
+++ b/packages/cassiastair/cassiastair/replication/restored_store_test.py
@@ -28,8 +28,8 @@
         assert [item.value for item in placed] == [b"1", None]
 
 
-class TestReader(TestCase):
-    """One VM that reads the store."""
+class OneVmTestCase(TestCase):
+    """One VM that reads a store."""
 
     def setUp(self):
         super().setUp()
@@ -37,17 +37,24 @@
         self.fleet = Fleet(1, self.clock)
         self.store = self.fleet.store
         self.reader = self.fleet.make_reader(0)
-        self.store.write("kept", b"1")
-        self.copy = self.store.take_copy()
-        for number in range(10):
-            self.store.write("lost", bytes([number]))
-        self.read()
 
     def read(self) -> None:
         """Read until the store has been watched after its last change."""
         for _ in range(4):
             self.reader.read_once()
 
+
+class TestReader(OneVmTestCase):
+    """What the VM knows of the store, and how often it calls it."""
+
+    def setUp(self):
+        super().setUp()
+        self.store.write("kept", b"1")
+        self.copy = self.store.take_copy()
+        for number in range(10):
+            self.store.write("lost", bytes([number]))
+        self.read()
+
     def check_replica(self) -> None:
         """Check that the VM knows what the store has."""
         assert len(self.fleet.nodes[0].replica) == len(self.store.items)
@@ -138,15 +145,11 @@
         assert self.store.calls - calls <= MAX_CALLS_A_SECOND * seconds
 
 
-class TestItemsInForce(TestCase):
+class TestItemsInForce(OneVmTestCase):
     """What a VM acts on until the store has caught up with what it knew."""
 
     def setUp(self):
         super().setUp()
-        self.clock = ManualClock()
-        self.fleet = Fleet(1, self.clock)
-        self.store = self.fleet.store
-        self.reader = self.fleet.make_reader(0)
         self.write(config=b"1", drained=b"ready", gone=b"ready", changed=b"1")
         self.copy = self.store.take_copy()
         self.write(config=b"2", drained=b"draining", gone=None, changed=b"2")
@@ -164,11 +167,6 @@
             self.store.write(key, value)
         self.read()
 
-    def read(self) -> None:
-        """Read until the store has been watched after its last change."""
-        for _ in range(3):
-            self.reader.read_once()
-
     def restore(self) -> None:
         """Restore the store from the copy and let the VM read it."""
         self.store.restore(self.copy)
