Refuse revisions out of range from the source of tickets

A revision above 2**63 - 1 would be taken for a position of a later era, and what the source publishes after it be ignored. From reading the code; the platform's store was bounded already.

--- a/packages/cassiastair/cassiastair/data/__init__.py
+++ b/packages/cassiastair/cassiastair/data/__init__.py
@@ -14,7 +14,7 @@
 from .service import Service
 from .shard_answer import ShardAnswer
 from .snapshot import Snapshot
-from .store_position import StorePosition
+from .store_position import MAX_REVISION, StorePosition
 from .target import Target
 from .ticket import Change, Ticket
 from .vm import Vm
@@ -22,6 +22,7 @@
 __all__ = [
     "FULL_RANGE",
     "KEY_SPACE",
+    "MAX_REVISION",
     "Attempt",
     "Change",
     "Coverage",
--- a/packages/cassiastair/cassiastair/data/store_position.py
+++ b/packages/cassiastair/cassiastair/data/store_position.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 REVISION_BITS = 63
+MAX_REVISION = (1 << REVISION_BITS) - 1
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -29,7 +30,7 @@
         """Return the position that a number stands for, see `to_number`."""
         if number < 0:
             return cls(-1, -1)
-        return cls(number >> REVISION_BITS, number & (1 << REVISION_BITS) - 1)
+        return cls(number >> REVISION_BITS, number & MAX_REVISION)
 
     def to_number(self) -> int:
         """Return a number that orders as positions do.
--- a/packages/cassiastair/cassiastair/membership/membership_test.py
+++ b/packages/cassiastair/cassiastair/membership/membership_test.py
@@ -219,3 +219,10 @@
     def test_malformed_vm_list_is_refused(self):
         for raw in (b"", b"[]", b'{"vms": 1}', b'{"vms": [{}], "leaving_targets": []}'):
             assert parse_vm_list(raw) is None
+
+    def test_vm_list_with_a_revision_out_of_range_is_refused(self):
+        for revision, is_read in ((0, True), (2**63 - 1, True), (-1, False)):
+            raw = b'{"revision": %d, "vms": [], "leaving_targets": []}' % revision
+            assert (parse_vm_list(raw) is not None) == is_read
+        raw = b'{"revision": 9223372036854775808, "vms": [], "leaving_targets": []}'
+        assert parse_vm_list(raw) is None
--- a/packages/cassiastair/cassiastair/ticket_source/vm_list.py
+++ b/packages/cassiastair/cassiastair/ticket_source/vm_list.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from ..data import Vm
+from ..data import MAX_REVISION, Vm
 
 MAX_VMS = 100_000  # further VMs of a list are ignored
 
@@ -37,7 +37,10 @@
         document = orjson.loads(raw)
         vms = tuple(_read_vm(item) for item in document["vms"][:MAX_VMS])
         leaving_targets = tuple(str(name) for name in document["leaving_targets"])
-        return VmList(int(document["revision"]), vms, leaving_targets)
+        revision = int(document["revision"])
+        if not 0 <= revision <= MAX_REVISION:
+            raise ValueError(f"{revision} is not a revision")
+        return VmList(revision, vms, leaving_targets)
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
         return None
 
--- a/packages/cassiastaird/cassiastaird/ticket_source/client.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/client.py
@@ -2,6 +2,7 @@
 
 import orjson
 import urllib3
+from cassiastair.data import MAX_REVISION
 from cassiastair.ticket_source import (
     PlatformEntry,
     PlatformError,
@@ -68,6 +69,8 @@
             for item in document["entries"]
         )
         revision = int(document["revision"])
+        if not 0 <= revision <= MAX_REVISION:
+            raise ValueError(f"{revision} is not a revision")
         return PlatformPage(revision, entries, document.get("more") is True, era)
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
         raise PlatformError(f"the page is malformed: {error!r}") from error
--- a/packages/cassiastaird/cassiastaird/ticket_source/client_test.py
+++ b/packages/cassiastaird/cassiastaird/ticket_source/client_test.py
@@ -42,6 +42,11 @@
         assert (page.era, page.entries[0].era) == (4, 4)
         assert decode_page(b'{"revision": 3, "entries": []}').era == 0
 
+    def test_page_with_a_revision_out_of_range_is_refused(self):
+        for revision in (b"-1", b"9223372036854775808"):
+            raw = b'{"revision": %b, "entries": []}' % revision
+            self.assertRaises(PlatformError, decode_page, raw)
+
     def test_page_with_an_era_that_is_no_count_is_refused(self):
         for era in (b"-1", b'"1"', b"1.0", b"true", b"null", b"9007199254740992"):
             raw = b'{"revision": 3, "entries": [], "era": %b}' % era
