Keep items in force while the store's state is not confirmed

What callers would have seen: in a data centre that is cut off right after the store's return from a copy, targets that the copy lacks would have been out of use after 2.5 s, although they live and had been written again.

Cause: the times for which known items stay in force ended by the clock alone. Now they end when the store has confirmed a state of then, directly or through peers.

Found by reading the repair afresh. test_vm_that_is_cut_off_keeps_what_it_knew failed before.

--- a/packages/cassiastair/cassiastair/replication/restored_store_test.py
+++ b/packages/cassiastair/cassiastair/replication/restored_store_test.py
@@ -172,10 +172,12 @@
         self.store.restore(self.copy)
         self.read()
 
-    def pass_time(self, seconds: float) -> None:
+    def pass_time(self, seconds: float, is_store_reached: bool = True) -> None:
         """Advance the clock, in the steps of the maintenance task."""
         for _ in range(round(seconds / 0.5)):
             self.clock.advance(0.5)
+            if is_store_reached:
+                self.reader.read_once()
             self.fleet.unconfirmed[0].release_expired()
 
     def test_older_states_and_missing_items_of_the_copy_change_nothing(self):
@@ -195,6 +197,14 @@
         assert "added" in self.in_force
         assert "lost" not in self.in_force
 
+    def test_vm_that_is_cut_off_keeps_what_it_knew(self):
+        self.restore()
+        self.pass_time(60.0, is_store_reached=False)
+        assert self.in_force == self.known | {"changed": b"1"}
+        self.read()
+        self.pass_time(0.5)
+        assert self.in_force.keys() == {"config", "drained", "gone", "changed"}
+
     def test_draining_target_is_ready_once_its_record_has_not_lapsed(self):
         self.restore()
         self.pass_time(6.0)
@@ -505,6 +515,10 @@
                 node.send_heartbeats()
             fleet.deliver()
         fleet.clock.advance(20.0)
+        reader.read_once()
+        for node in fleet.nodes:
+            node.send_heartbeats()
+        fleet.deliver()
         for number in range(5):
             assert fleet.get_values(number) == store.get_values()
             fleet.unconfirmed[number].release_expired()
--- a/packages/cassiastair/cassiastair/replication/unconfirmed_items.py
+++ b/packages/cassiastair/cassiastair/replication/unconfirmed_items.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 
 from ..clock import Clock
+from ..membership import Freshness
 from .item import StoreItem
 from .item_precedence import ItemPrecedence
 from .kept_item import KeptItem
@@ -28,6 +29,9 @@
       removed, until it is written again or the record of a target that is gone would
       have lapsed. Lasting ones stay until something newer is written.
 
+    These times end only when the store's state of then is known: a VM that is cut off
+    would not hear that an item was written again.
+
     Parameters
     ----------
     clock : Clock
@@ -38,6 +42,8 @@
         Called with the items that come into force, see `StoreChangeApplier.apply`.
     lapse_time : float
         Seconds of silence after which the store removes the record of a target.
+    freshness : Freshness
+        Age of the store's last confirmation of this VM's state.
     log_event : callable
         Logs an event; takes its name, and its fields as keywords.
     """
@@ -48,12 +54,14 @@
         precedence: ItemPrecedence,
         apply: Callable[[list[StoreItem]], None],
         lapse_time: float,
+        freshness: Freshness,
         log_event: Callable[..., None],
     ):
         self._clock = clock
         self._precedence = precedence
         self._apply = apply
         self._lapse_time = lapse_time
+        self._freshness = freshness
         self._log_event = log_event
         self._kept: dict[str, KeptItem] = {}
 
@@ -166,9 +174,11 @@
 
     def release_expired(self) -> None:
         """Put what the store has in force in place of items whose time is over."""
-        now = self._clock.now()
+        if not self._kept:
+            return
+        confirmed_at = self._clock.now() - self._freshness.age
         count = len(self._kept)
-        expired = [kept for kept in self._kept.values() if kept.until <= now]
+        expired = [kept for kept in self._kept.values() if kept.until <= confirmed_at]
         for kept in expired:
             del self._kept[kept.item.key]
         if expired:
--- a/packages/cassiastair/cassiastair/testing/replication_bench.py
+++ b/packages/cassiastair/cassiastair/testing/replication_bench.py
@@ -166,17 +166,18 @@
         vm = Vm(f"vm{number}", "r1", "dc", "127.0.0.1", 1, 2)
         members = MemberList(vm, self.clock)
         self.in_force[number] = {}
+        freshness = Freshness(self.clock)
         unconfirmed = UnconfirmedItems(
             self.clock,
             FakePrecedence(),
             partial(self.apply, number),
             3.6,
+            freshness,
             lambda event, **fields: self.events.append((event, fields)),
         )
         self.unconfirmed[number] = unconfirmed
         replica = StoreReplica(unconfirmed.apply_changes, unconfirmed.apply_restored)
         selection = ReaderSelection(vm.name, "dc", members.local_names, self.clock)
-        freshness = Freshness(self.clock)
         outliers = OutlierDetector(self.clock)
         self.detectors.append(outliers)
         limits = TargetLimits(self.clock, vm.name, lambda: [vm.name], lambda: 7)
--- a/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
+++ b/packages/cassiastaird/cassiastaird/entry/entry_daemon.py
@@ -237,17 +237,18 @@
         """Create the components that replicate the platform's store."""
         self.store = store
         self.applier = StoreChangeApplier(decoder, self.table, self.registry, self.log)
+        self.freshness = Freshness(self._clock)
         self.unconfirmed = UnconfirmedItems(
             self._clock,
             DecodedPrecedence(decoder),
             self.applier.apply,
             self.settings.record_lapse_s,
+            self.freshness,
             self._log_event,
         )
         self.replica = StoreReplica(
             self.unconfirmed.apply_changes, self.unconfirmed.apply_restored
         )
-        self.freshness = Freshness(self._clock)
         store_contact = StoreContact(self._clock)
         self.reader_selection = ReaderSelection(
             self.own.name, self.own.data_centre, self.members.local_names, self._clock
