--- a/review/support2/world.py
+++ b/review/support2/world.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import signal
@@ -21,6 +22,8 @@
 HOST = "search.example"
 HEARTBEAT_MS = 1200
 READY_WAIT_S = 30.0
+PAGE_ITEMS = 500  # in one answer of a range read
+PAGE_BYTES = 1_000_000
 SETTINGS = """\
 nodeName = "{name}"
 role = "entry"
@@ -129,7 +132,10 @@
         self.history = []
         self.revision = 10
         self.port = 0
+        self.hears_nothing = False  # watches wait although there are changes
+        self._first_kept = 0  # watches after an older revision get 410
         self._changed = asyncio.Event()
+        self._watches = set()
 
     async def start(self):
         """Listen on a free loopback port."""
@@ -138,13 +144,17 @@
 
     def put(self, key, value):
         """Write a value as JSON; None removes the key."""
+        self.put_bytes(key, None if value is None else json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
+        """Write the bytes of a value; None removes the key."""
         self.revision += 1
         item = {"key": key, "revision": self.revision}
         if value is None:
             self.items.pop(key, None)
             item["deleted"] = True
         else:
-            text = base64.b64encode(json.dumps(value).encode()).decode()
+            text = base64.b64encode(value).decode()
             known = self.items.get(key)
             item |= {"value": text, "leaseId": 0}
             item["createdAt"] = known["createdAt"] if known else self.revision
@@ -153,15 +163,30 @@
         event, self._changed = self._changed, asyncio.Event()
         event.set()
 
+    def drop_history(self):
+        """Drop the history and cut the watches that wait."""
+        self._first_kept = self.revision
+        self.history.clear()
+        for writer in self._watches:
+            writer.transport.abort()
+        self._watches.clear()
+
     async def _serve(self, reader, writer):
         while (head := await read_head(reader)) is not None:
             url = urlsplit(head[0].split(" ")[1])
             query = {k: v[0] for k, v in parse_qs(url.query).items()}
-            answer = await self._answer(url.path, query)
+            is_watch = url.path == "/-/kv-watch"
+            if is_watch and int(query["after"]) < self._first_kept:
+                status, answer = b"410 Gone", {}
+            else:
+                if is_watch:
+                    self._watches.add(writer)
+                status, answer = b"200 OK", await self._answer(url.path, query)
+                self._watches.discard(writer)
             body = json.dumps(answer).encode()
             writer.write(
-                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+                b"HTTP/1.1 %b\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n%b" % (status, len(body), body)
             )
             try:
                 await writer.drain()
@@ -181,16 +206,22 @@
                     if e["revision"] > after and e["key"].startswith(prefix)
                 ]
                 left = until - time.monotonic()
-                if events or left <= 0:
+                if self.hears_nothing:
+                    await asyncio.sleep(0.02)
+                elif events or left <= 0:
                     return {"events": events, "at": self.revision}
-                try:
-                    await asyncio.wait_for(self._changed.wait(), left)
-                except TimeoutError:
-                    continue
+                else:
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self._changed.wait(), left)
         keys = sorted(k for k in self.items if k.startswith(prefix))
         keys = [k for k in keys if k > query.get("after", "")]
-        page = [self.items[k] for k in keys[:500]]
-        return {"items": page, "hasMore": len(keys) > 500, "at": self.revision}
+        page, size = [], 0
+        for key in keys[:PAGE_ITEMS]:
+            if page and size + len(self.items[key].get("value", "")) > PAGE_BYTES:
+                break
+            page.append(self.items[key])
+            size += len(self.items[key].get("value", ""))
+        return {"items": page, "hasMore": len(page) < len(keys), "at": self.revision}
 
 
 class Target:
