--- a/review/support2/world.py
+++ b/review/support2/world.py
@@ -85,16 +85,18 @@
 class Record:
     """Log of a case: what was sent, answered and run, in order."""
 
-    def __init__(self, path):
+    def __init__(self, path, echoes=True):
         self._file = open(path, "w", encoding="utf-8")
         self._start = time.monotonic()
+        self._echoes = echoes
 
     def write(self, text):
         """Write one line with the time since the start."""
         line = f"{time.monotonic() - self._start:8.3f} {text}"
         self._file.write(line + "\n")
         self._file.flush()
-        print(line, flush=True)
+        if self._echoes:
+            print(line, flush=True)
 
 
 async def read_head(reader):
@@ -282,7 +284,7 @@
                     )
                     await self.answer(writer, attempt, method, path, body, headers)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         writer.close()
 
