--- a/review/support2/world.py
+++ b/review/support2/world.py
@@ -40,6 +40,7 @@
 contracts = ["base","drain","config","cost","retry","recover","scatter","platform"]
 [zones]
 tallinn = "eesti"
+tartu = "eesti"
 [listenAddresses]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -220,6 +221,7 @@
         self.record = record
         self.runs = []  # (attempt, method, path, body)
         self.state = "ready"
+        self.zone = "tallinn"
         self.port = 0
         self._born = int(time.time() * 1000)
         self._sequence = 0
@@ -239,7 +241,7 @@
             {
                 "service": self.service,
                 "address": f"127.0.0.1:{self.port}",
-                "zone": "tallinn",
+                "zone": self.zone,
                 "version": "v1",
                 "concurrency": 4,
                 "state": self.state,
